--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -1,12 +1,11 @@
 //! The wire: lines of JSON arrays to events, and actions to lines. One [`Router`] for each instance.
 
 mod fields;
-mod settings;
 
 use fields::Fields;
 use serde_json::{Value, json};
-use settings::{Names, Wire};
 use shedrelay::*;
+use shedrelay_settings::{Names, Wire};
 use std::collections::BTreeMap;
 use std::fmt::Write;
 use std::net::{Ipv4Addr, SocketAddrV4};
--- /dev/null
+++ b/router/src/clients.rs
@@ -0,0 +1,279 @@
+//! Clients: the server on which they call, and the fronts that speak to them. Parses, hands over and renders;
+//! no decision is taken here.
+
+mod conn;
+pub mod platform;
+
+use crate::core::Core;
+use crate::exchange::{Broken, ClientEnd};
+use crate::log;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
+use actix_http::error::{DispatchError, PayloadError};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{HttpMessage as _, HttpService, Request, Response, StatusCode};
+use actix_service::{Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use conn::{Conn, Wire};
+use futures_core::Stream;
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{Semaphore, watch};
+
+/// A body holds at most this much.
+const LARGEST_BODY: usize = 256 * 1024;
+/// A body comes whole in this time, or its client is told so.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// The first head on a connection comes in this time.
+const HEAD_TIME: Duration = Duration::from_secs(30);
+/// A connection without a request is kept for this long.
+const KEEP: Duration = Duration::from_secs(90);
+/// What a client sent and nobody read is taken for this long before its connection closes.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// Why a request was turned down before the core heard of it.
+#[derive(Debug, PartialEq, thiserror::Error)]
+pub enum Bad {
+    /// No such path.
+    #[error("no such path")]
+    Path,
+    /// Another method is wanted.
+    #[error("wrong method")]
+    Method,
+    /// The body is too large.
+    #[error("the body is larger than 256 KiB")]
+    TooLarge,
+    /// The body never came whole.
+    #[error("the body did not come whole")]
+    Incomplete,
+    /// A field is missing or wrong.
+    #[error("{0}")]
+    Field(String),
+    /// Its id is that of a request still open.
+    #[error("a request with this id is open")]
+    Twice,
+}
+
+impl Bad {
+    /// The status that says so.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Bad::Path => StatusCode::NOT_FOUND,
+            Bad::Method => StatusCode::METHOD_NOT_ALLOWED,
+            Bad::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Bad::Incomplete => StatusCode::REQUEST_TIMEOUT,
+            Bad::Field(_) => StatusCode::BAD_REQUEST,
+            Bad::Twice => StatusCode::CONFLICT,
+        }
+    }
+}
+
+/// What all fronts share.
+pub struct Shared {
+    /// Where requests go.
+    pub core: Rc<Core>,
+    /// The program is about to end: answers close their connections.
+    pub stopping: Cell<bool>,
+    slots: Arc<Semaphore>,
+    most: usize,
+    stop: watch::Sender<bool>,
+}
+
+impl Shared {
+    /// With so many client connections at most.
+    pub fn new(core: Rc<Core>, most: usize) -> Rc<Self> {
+        let slots = Arc::new(Semaphore::new(most));
+        Rc::new(Shared { core, stopping: Cell::new(false), slots, most, stop: watch::Sender::new(false) })
+    }
+
+    /// No connection is accepted from now on, and those without a request are closed.
+    pub fn drain(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Client connections that are open.
+    pub fn open(&self) -> usize {
+        self.most - self.slots.available_permits()
+    }
+}
+
+/// Serves one front until the program ends.
+pub async fn serve<F, A>(listener: TcpListener, shared: Rc<Shared>, front: F)
+where
+    F: Fn(Rc<Shared>, Request) -> A + Clone + 'static,
+    A: Future<Output = Response<BoxBody>> + 'static,
+{
+    let of = shared.clone();
+    let stop = shared.stop.subscribe();
+    let service = fn_service(move |request: Request| {
+        let (shared, front) = (of.clone(), front.clone());
+        async move {
+            let mut response = front(shared.clone(), request).await;
+            if shared.stopping.get() {
+                response.head_mut().set_connection_type(actix_http::ConnectionType::Close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let factory = HttpService::<Wire, _, BoxBody>::build()
+        .keep_alive(KEEP)
+        .client_request_timeout(HEAD_TIME)
+        .client_disconnect_timeout(LINGER)
+        // A client that closes its connection has gone away.
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || {
+            let mut stop = stop.clone();
+            async move {
+                let _ = stop.wait_for(|stop| *stop).await;
+            }
+        })
+        .on_connect_ext(|wire: &Wire, data| {
+            data.insert(wire.conn.clone());
+        })
+        .h1(service);
+    let Ok(handler) = factory.new_service(()).await else {
+        log!("front failed reason=no-service");
+        return;
+    };
+    let mut stop = shared.stop.subscribe();
+    loop {
+        let slots = shared.slots.clone();
+        let accepted = async {
+            let slot = slots.acquire_owned().await;
+            (slot, listener.accept().await)
+        };
+        let (slot, accepted) = tokio::select! {
+            accepted = accepted => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let _ = stream.set_nodelay(true);
+                let conn = Rc::<Conn>::default();
+                let served = handler.call((Wire::new(stream, conn.clone()), Some(peer)));
+                let shared = shared.clone();
+                actix_rt::spawn(async move {
+                    let end = served.await;
+                    let code = code(&end, &conn, shared.stopping.get());
+                    log!(
+                        "connection peer=client address={peer} code={code} requests={}",
+                        conn.requests.get()
+                    );
+                    drop(slot);
+                });
+            }
+            Err(error) => {
+                log!("accept failed error=\"{error}\"");
+                // Out of descriptors, most likely: others must end first.
+                actix_rt::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+/// The reason why a connection ended, for the log.
+fn code(end: &Result<(), DispatchError>, conn: &Conn, stopping: bool) -> &'static str {
+    match end {
+        Err(DispatchError::Body(_)) => "answer-broken",
+        Err(DispatchError::Parse(_)) => "bad-head",
+        Err(DispatchError::Io(_)) => "reset",
+        Err(DispatchError::DisconnectTimeout) => "linger-timeout",
+        Err(_) => "error",
+        Ok(()) if conn.ended.get() => "client-closed",
+        Ok(()) if stopping => "stopping",
+        Ok(()) if conn.requests.get() == 0 => "no-request",
+        Ok(()) => "closed",
+    }
+}
+
+/// Reads a request's body, up to the limit.
+pub async fn body(request: &mut Request) -> Result<Bytes, Bad> {
+    let told = request.headers().get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    if told.is_some_and(|told: usize| told > LARGEST_BODY) {
+        return Err(Bad::TooLarge);
+    }
+    let mut payload = request.take_payload();
+    let all = async {
+        let mut body = Vec::with_capacity(told.unwrap_or(0));
+        while let Some(piece) = poll_fn(|cx| Pin::new(&mut payload).poll_next(cx)).await {
+            let piece = piece.map_err(|_: PayloadError| Bad::Incomplete)?;
+            if body.len() + piece.len() > LARGEST_BODY {
+                return Err(Bad::TooLarge);
+            }
+            body.extend_from_slice(&piece);
+        }
+        Ok(Bytes::from(body))
+    };
+    actix_rt::time::timeout(BODY_TIME, all).await.unwrap_or(Err(Bad::Incomplete))
+}
+
+/// Notes a request on its connection, and what became of it if the core never heard of it.
+pub fn note(request: &Request) {
+    if let Some(conn) = request.conn_data::<Rc<Conn>>() {
+        conn.requests.set(conn.requests.get() + 1);
+    }
+}
+
+/// Seconds as `Retry-After` tells them.
+pub fn seconds(time: Duration) -> Option<HeaderValue> {
+    HeaderValue::from_str(&format!("{:.3}", time.as_secs_f64())).ok()
+}
+
+/// An answer that streams: each piece goes out as it comes, and one that breaks off ends its connection
+/// without a last chunk.
+pub struct Answer<R> {
+    end: ClientEnd,
+    render: R,
+    broken: bool,
+}
+
+/// Turns pieces of a server's stream into what a front sends.
+pub trait Render: Unpin + 'static {
+    /// What to send for a piece; may be empty.
+    fn piece(&mut self, piece: Bytes) -> Bytes;
+}
+
+impl<R: Render> Answer<R> {
+    /// The body of an answer whose opening was a stream.
+    pub fn new(end: ClientEnd, render: R) -> Self {
+        Answer { end, render, broken: false }
+    }
+}
+
+impl<R: Render> MessageBody for Answer<R> {
+    type Error = Broken;
+
+    fn size(&self) -> BodySize {
+        BodySize::Stream
+    }
+
+    fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        let this = self.get_mut();
+        if this.broken {
+            return Poll::Ready(Some(Err(Broken)));
+        }
+        loop {
+            match this.end.poll_piece(cx) {
+                Poll::Ready(Some(Ok(piece))) => {
+                    let piece = this.render.piece(piece);
+                    if !piece.is_empty() {
+                        return Poll::Ready(Some(Ok(piece)));
+                    }
+                }
+                Poll::Ready(Some(Err(Broken))) => {
+                    // What came before must be written first: an error drops what waits in the buffer.
+                    this.broken = true;
+                    cx.waker().wake_by_ref();
+                    return Poll::Pending;
+                }
+                other => return other,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/router/src/clients/platform.rs
@@ -0,0 +1,157 @@
+//! The platform's front: its protocol's heads and statuses, and nothing else.
+
+use super::{Answer, Bad, Render, Shared, body, note, seconds};
+use crate::config;
+use crate::exchange::{Call, Exchange, Opening};
+use crate::log;
+use actix_http::body::BoxBody;
+use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
+use bytes::Bytes;
+use shedrelay::{ClassId, Key, TenantId};
+use shedrelay_settings::Names;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+const CHAT: &str = "/v1/chat/completions";
+const HEALTH: &str = "/healthz";
+/// No client waits longer than this; a budget beyond it is a mistake.
+const LONGEST_BUDGET: f64 = 3_600.0;
+/// No prompt or answer has more tokens than this.
+const MOST_TOKENS: f64 = 1e9;
+const LONGEST_ID: usize = 64;
+
+/// A server's events pass unchanged.
+struct Unchanged;
+
+impl Render for Unchanged {
+    fn piece(&mut self, piece: Bytes) -> Bytes {
+        piece
+    }
+}
+
+/// Answers one request.
+pub async fn front(shared: Rc<Shared>, mut request: Request) -> Response<BoxBody> {
+    let arrived = Instant::now();
+    note(&request);
+    if request.path() == HEALTH {
+        return health(&shared, &request);
+    }
+    let taken = async {
+        if request.path() != CHAT {
+            return Err(Bad::Path);
+        }
+        if request.method() != Method::POST {
+            return Err(Bad::Method);
+        }
+        let body = body(&mut request).await?;
+        let target = request.uri().path_and_query().map_or(CHAT, |target| target.as_str()).to_owned();
+        let call = call(request.headers(), shared.core.names(), arrived, target, body)?;
+        shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
+    };
+    let mut end = match taken.await {
+        Ok(end) => end,
+        Err(bad) => {
+            log!("request refused code={} reason=\"{bad}\"", bad.status().as_u16());
+            let text = format!("{bad}\n");
+            return Response::build(bad.status()).body(text).map_into_boxed_body();
+        }
+    };
+    match end.opening().await {
+        Opening::Stream => Response::build(StatusCode::OK)
+            .insert_header((CONTENT_TYPE, "text/event-stream"))
+            .insert_header((CACHE_CONTROL, "no-cache"))
+            .body(Answer::new(end, Unchanged))
+            .map_into_boxed_body(),
+        Opening::Refused(after) => {
+            let mut response = Response::new(StatusCode::SERVICE_UNAVAILABLE);
+            if let Some(after) = after.and_then(seconds) {
+                response.headers_mut().insert(RETRY_AFTER, after);
+            }
+            response
+        }
+        Opening::Failed => Response::new(StatusCode::BAD_GATEWAY),
+    }
+}
+
+fn health(shared: &Shared, request: &Request) -> Response<BoxBody> {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return Response::new(Bad::Method.status());
+    }
+    let able = !shared.stopping.get() && shared.core.able();
+    Response::new(if able { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+}
+
+/// The core's view of a request, from its head.
+fn call(head: &HeaderMap, names: &Names, arrived: Instant, target: String, body: Bytes) -> Result<Call, Bad> {
+    let text = |name: &str| match head.get(name).map(HeaderValue::to_str) {
+        Some(Ok(text)) => Ok(text.trim()),
+        Some(Err(_)) => Err(wrong(name)),
+        None => Err(Bad::Field(format!("{name} is missing"))),
+    };
+    let label = text("X-Call-Id")?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if label.is_empty() || label.len() > LONGEST_ID || !label.chars().all(plain) {
+        return Err(wrong("X-Call-Id"));
+    }
+    let class = text("X-Call-Class")?;
+    let class = names.classes.iter().position(|known| known == class).ok_or_else(|| wrong("X-Call-Class"))?;
+    let tenant = if names.tenants.is_empty() {
+        None
+    } else {
+        let name = text("X-Caller")?;
+        Some(names.tenants.iter().position(|known| known == name).ok_or_else(|| wrong("X-Caller"))?)
+    };
+    let budget: f64 = text("X-Budget")?.parse().map_err(|_| wrong("X-Budget"))?;
+    if !(budget > 0.0 && budget <= LONGEST_BUDGET) {
+        return Err(wrong("X-Budget"));
+    }
+    let session = key(text("X-Route-Hash")?).ok_or_else(|| wrong("X-Route-Hash"))?;
+    let (mut prefix, mut lengths) = (None, [None; 3]);
+    for part in text("X-Call-Info")?.split(',').map(str::trim).filter(|part| !part.is_empty()) {
+        let (name, value) = part.split_once('=').ok_or_else(|| wrong("X-Call-Info"))?;
+        let place = match name.trim() {
+            "prefix" => {
+                prefix = Some(key(value.trim()).ok_or_else(|| wrong("X-Call-Info"))?);
+                continue;
+            }
+            "prompt_len" => 0,
+            "prefix_len" => 1,
+            "max_out" => 2,
+            _ => continue,
+        };
+        let tokens: f64 = value.trim().parse().map_err(|_| wrong("X-Call-Info"))?;
+        if !(0.0..=MOST_TOKENS).contains(&tokens) {
+            return Err(wrong("X-Call-Info"));
+        }
+        lengths[place] = Some(tokens);
+    }
+    let [Some(prompt_len), prefix_len, Some(max_out)] = lengths else { return Err(wrong("X-Call-Info")) };
+    Ok(Call {
+        label: label.to_owned(),
+        session: Some(session),
+        prefix: prefix.filter(|prefix| prefix.0 != 0),
+        prefix_len: prefix_len.unwrap_or(0.0),
+        prompt_len,
+        max_out,
+        class: ClassId(class),
+        tenant: tenant.map(TenantId),
+        arrived,
+        budget: Duration::from_secs_f64(budget),
+        target,
+        body,
+    })
+}
+
+fn wrong(name: &str) -> Bad {
+    Bad::Field(format!("{name} is wrong"))
+}
+
+/// A key is 16 hex digits; another plain word is a key too, by its hash.
+fn key(text: &str) -> Option<Key> {
+    match u64::from_str_radix(text, 16) {
+        Ok(key) if text.len() == 16 => Some(Key(key)),
+        _ if text.is_empty() || text.len() > LONGEST_ID => None,
+        _ => Some(Key(config::hash(text))),
+    }
+}
--- /dev/null
+++ b/router/src/config.rs
@@ -0,0 +1,139 @@
+//! What the platform tells the router: `$PROXY_CONFIG`, and the variables that stand beside it.
+
+use crate::list;
+use serde::Deserialize;
+use shedrelay::Settings;
+use shedrelay_settings::{Links, Names, Wire};
+use std::net::SocketAddr;
+
+/// Descriptors kept for the listeners, the list's watch, standard streams and the runtime.
+const SPARE_SOCKETS: usize = 48;
+/// Part of the others that clients may hold; the rest is for servers.
+const CLIENT_PART: f64 = 0.55;
+/// With fewer descriptors than this a router cannot work.
+const LEAST_SOCKETS: usize = 80;
+
+/// Why the router cannot start.
+#[derive(Debug, thiserror::Error)]
+pub enum ConfigError {
+    /// Neither the variable nor the file says where things are.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// A file cannot be read.
+    #[error("{path}: {error}")]
+    File {
+        /// Its path.
+        path: String,
+        /// What went wrong.
+        error: std::io::Error,
+    },
+    /// A file is not what it should be.
+    #[error("{path}: {problem}")]
+    Content {
+        /// Its path.
+        path: String,
+        /// What is wrong.
+        problem: String,
+    },
+}
+
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    #[serde(default)]
+    seed: serde_json::Value,
+    #[serde(default)]
+    limits: Limits,
+    known: Option<list::Wire>,
+    settings: Wire,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1_024 }
+    }
+}
+
+/// All that a router is told at its start.
+pub struct Config {
+    /// Its name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery answers.
+    pub discovery: SocketAddr,
+    /// Seed of the module's chance.
+    pub seed: u64,
+    /// Client connections that may be open at once.
+    pub client_sockets: usize,
+    /// Server connections that may be open at once.
+    pub server_sockets: usize,
+    /// The list of servers as last held; may be old.
+    pub known: Option<list::Wire>,
+    /// The module's settings.
+    pub settings: Settings,
+    /// Names used on the wire.
+    pub names: Names,
+    /// What is told of connections.
+    pub links: Links,
+}
+
+impl Config {
+    /// Reads the file that `$PROXY_CONFIG` names; variables of their own outweigh it.
+    pub fn load() -> Result<Self, ConfigError> {
+        let path = std::env::var("PROXY_CONFIG").map_err(|_| ConfigError::Unset("PROXY_CONFIG"))?;
+        let text = std::fs::read_to_string(&path)
+            .map_err(|error| ConfigError::File { path: path.clone(), error })?;
+        let wrong = |problem: String| ConfigError::Content { path: path.clone(), problem };
+        let file: File = serde_json::from_str(&text).map_err(|error| wrong(error.to_string()))?;
+        let told = |name: &'static str, value: Option<String>| {
+            std::env::var(name).ok().or(value).ok_or(ConfigError::Unset(name))
+        };
+        let address = |name: &'static str, value: Option<String>| {
+            let text = told(name, value)?;
+            text.parse().map_err(|_| wrong(format!("{name}: `{text}` is not address:port")))
+        };
+        let sockets = file.limits.sockets;
+        if sockets < LEAST_SOCKETS {
+            return Err(wrong(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}")));
+        }
+        let client_sockets = ((sockets - SPARE_SOCKETS) as f64 * CLIENT_PART) as usize;
+        let links = file.settings.links();
+        let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
+        settings.check().map_err(|error| wrong(error.to_string()))?;
+        Ok(Config {
+            name: told("PROXY_NAME", file.name).unwrap_or_else(|_| "router".to_owned()),
+            listen: address("PROXY_LISTEN", file.listen)?,
+            discovery: address("PROXY_DISCOVERY", file.discovery)?,
+            seed: seed(&file.seed),
+            client_sockets,
+            server_sockets: sockets - SPARE_SOCKETS - client_sockets,
+            known: file.known,
+            settings,
+            names,
+            links,
+        })
+    }
+}
+
+/// A seed is 16 hex digits; anything else still gives some number.
+fn seed(value: &serde_json::Value) -> u64 {
+    match value {
+        serde_json::Value::String(text) => u64::from_str_radix(text, 16).unwrap_or_else(|_| hash(text)),
+        serde_json::Value::Number(number) => number.as_u64().unwrap_or(0),
+        _ => 0,
+    }
+}
+
+/// A number for a name, the same at every router and after every restart (FNV-1a).
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+}
--- /dev/null
+++ b/router/src/core.rs
@@ -0,0 +1,523 @@
+//! The core: owns the module's `Router`, the clock, the timers and every open request, and carries out the
+//! module's actions. It knows no HTTP. The one final answer of each request is decided here alone.
+
+use crate::exchange::{ClientEnd, Exchange, Opening};
+use crate::list::{Entry, Update};
+use crate::{config, log};
+use shedrelay::*;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::sync::oneshot;
+
+/// An answer is due so long before the client gives up: it has to get there, and the client's clock started
+/// when it sent the request.
+const ANSWER_EARLY: Duration = Duration::from_millis(15);
+/// A request that is still open so long after its deadline is failed whatever the module thinks. Guards
+/// against a request that nobody answers.
+const OVERDUE: Duration = Duration::from_millis(5);
+
+/// A server as the core and the servers' side know it.
+pub struct Server {
+    /// Its name in the list.
+    pub label: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it does.
+    pub role: Role,
+    /// Since when it is known to take nothing new.
+    pub told: Cell<Option<Instant>>,
+}
+
+/// One attempt, as the servers' side gets it.
+pub struct Order {
+    /// The request and its answer's way back.
+    pub exchange: Rc<Exchange>,
+    /// Its number in the core.
+    pub request: RequestId,
+    /// The attempt's number.
+    pub attempt: Attempt,
+    /// Where to.
+    pub server: Rc<Server>,
+    /// When to stop waiting for a first token or the end of the read.
+    pub until: Instant,
+    /// The client's deadline, told to the server.
+    pub deadline: Instant,
+    /// Ends the attempt early.
+    pub stop: oneshot::Receiver<()>,
+}
+
+/// How an attempt ended, as the servers' side tells it.
+pub struct Ended {
+    /// How.
+    pub verdict: Verdict,
+    /// Prompt tokens found kept.
+    pub kept: Option<f64>,
+    /// The server's report.
+    pub report: Option<Report>,
+    /// The whole request was written: the server may have begun it, whatever came of the connection.
+    pub written: bool,
+    /// A reason for the log.
+    pub reason: &'static str,
+}
+
+/// The servers' side.
+pub trait Servers {
+    /// Starts an attempt; [`Core::started`] and [`Core::ended`] hear of it, never before this returns.
+    fn send(&self, order: Order);
+    /// Lets go of all that is held for a request, at this server if it can be reached, else by others.
+    fn release(&self, label: &str, at: Vec<Rc<Server>>);
+    /// A server takes nothing new, or moved: its idle connections can go.
+    fn retire(&self, server: &Server);
+}
+
+struct Open {
+    exchange: Rc<Exchange>,
+    deadline: Instant,
+    attempts: u32,
+    current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
+    /// The last reader that may hold a state.
+    reader: Option<Rc<Server>>,
+    started: bool,
+    answered: bool,
+    left: bool,
+}
+
+/// See the module's page.
+pub struct Core {
+    router: RefCell<Router>,
+    names: shedrelay_settings::Names,
+    roles: Vec<Role>,
+    open: RefCell<HashMap<RequestId, Open>>,
+    labels: RefCell<HashMap<String, RequestId>>,
+    list: RefCell<HashMap<ServerId, Rc<Server>>>,
+    servers: RefCell<Option<Rc<dyn Servers>>>,
+    born: Instant,
+    unix: u64,
+    last: Cell<u64>,
+    me: Weak<Core>,
+}
+
+impl Core {
+    /// A core that knows no server yet.
+    pub fn new(
+        settings: Settings,
+        names: shedrelay_settings::Names,
+        seed: u64,
+    ) -> Result<Rc<Self>, SettingsError> {
+        let roles = settings.kinds.iter().map(|kind| kind.role).collect();
+        let router = Router::new(settings, seed)?;
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Ok(Rc::new_cyclic(|me| Core {
+            router: RefCell::new(router),
+            names,
+            roles,
+            open: RefCell::default(),
+            labels: RefCell::default(),
+            list: RefCell::default(),
+            servers: RefCell::default(),
+            born: Instant::now(),
+            unix: unix.as_nanos() as u64,
+            last: Cell::new(0),
+            me: me.clone(),
+        }))
+    }
+
+    /// Connects the servers' side.
+    pub fn connect(&self, servers: Rc<dyn Servers>) {
+        *self.servers.borrow_mut() = Some(servers);
+    }
+
+    /// Names used on the wire.
+    pub fn names(&self) -> &shedrelay_settings::Names {
+        &self.names
+    }
+
+    /// The module's clock: Unix time at the start, and monotonic from there, so that it can be compared with
+    /// the list's start times and never goes back.
+    fn now(&self) -> Time {
+        Time(self.unix + self.born.elapsed().as_nanos() as u64)
+    }
+
+    /// Whether a request could be served: a server that reads and one that writes are listed.
+    pub fn able(&self) -> bool {
+        let list = self.list.borrow();
+        let has = |role| list.values().any(|s| s.told.get().is_none() && s.role == role);
+        has(Role::Mixed) || (has(Role::Reader) && has(Role::Writer))
+    }
+
+    /// Requests that have not ended yet.
+    pub fn busy(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    // The list.
+
+    /// News of the list.
+    pub fn listed(&self, update: Update) {
+        let mut gone = Vec::new();
+        let mut members = Vec::new();
+        {
+            let mut list = self.list.borrow_mut();
+            let now = Instant::now();
+            if update.complete {
+                let named: Vec<ServerId> = update.entries.iter().map(|e| server_id(&e.id)).collect();
+                for (id, server) in list.iter().filter(|(id, _)| !named.contains(id)) {
+                    tell(server, now);
+                    gone.push((*id, server.clone()));
+                }
+                list.retain(|id, _| named.contains(id));
+            }
+            for entry in &update.entries {
+                let Some(member) = self.member(entry) else { continue };
+                let known = list.get(&member.server).filter(|known| known.address == entry.address);
+                let server = known.cloned().unwrap_or_else(|| {
+                    Rc::new(Server {
+                        label: entry.id.clone(),
+                        address: entry.address,
+                        role: self.roles[member.kind.0],
+                        told: Cell::new(None),
+                    })
+                });
+                if member.state == ServerState::Active {
+                    server.told.set(None);
+                } else {
+                    tell(&server, now);
+                    gone.push((member.server, server.clone()));
+                }
+                if let Some(old) = list.insert(member.server, server.clone())
+                    && !Rc::ptr_eq(&old, &server)
+                {
+                    tell(&old, now);
+                    gone.push((member.server, old));
+                }
+                members.push(member);
+            }
+        }
+        if let Some(servers) = self.servers.borrow().as_ref() {
+            gone.iter().for_each(|(_, server)| servers.retire(server));
+        }
+        self.handle(Event::Members(match update.complete {
+            true => Members::Full(members),
+            false => Members::Changes(members),
+        }));
+    }
+
+    fn member(&self, entry: &Entry) -> Option<Member> {
+        let Some(kind) = self.names.kinds.iter().position(|kind| *kind == entry.kind) else {
+            log!("list dropped server={} reason=unknown-kind", entry.id);
+            return None;
+        };
+        let zone = self.names.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(usize::MAX);
+        let up_since = Some(entry.up_since_ms).filter(|ms| *ms > 0);
+        Some(Member {
+            server: server_id(&entry.id),
+            state: entry.state,
+            kind: KindId(kind),
+            zone: ZoneId(zone),
+            cell: CellId(entry.cell),
+            up_since: up_since.map(|ms| Time(ms.saturating_mul(1_000_000))),
+        })
+    }
+
+    // Requests.
+
+    /// Takes a request. None if one with its id is still open.
+    pub fn submit(&self, exchange: Rc<Exchange>) -> Option<ClientEnd> {
+        let call = &exchange.call;
+        let id = RequestId(self.last.get() + 1);
+        let budget = call.budget.saturating_sub(ANSWER_EARLY);
+        let deadline = call.arrived + budget;
+        if self.labels.borrow().contains_key(&call.label) {
+            return None;
+        }
+        self.last.set(id.0);
+        self.labels.borrow_mut().insert(call.label.clone(), id);
+        let me = self.me.clone();
+        exchange.on_leave(move || {
+            if let Some(core) = me.upgrade() {
+                core.gone(id);
+            }
+        });
+        let ask = Request {
+            id,
+            session: call.session,
+            prefix: call.prefix,
+            prefix_len: call.prefix_len,
+            prompt_len: call.prompt_len,
+            max_out: call.max_out,
+            budget: Span(deadline.saturating_duration_since(Instant::now()).as_nanos() as u64),
+            class: call.class,
+            tenant: call.tenant,
+        };
+        let open = Open {
+            exchange: exchange.clone(),
+            deadline,
+            attempts: 0,
+            current: None,
+            reader: None,
+            started: false,
+            answered: false,
+            left: false,
+        };
+        self.open.borrow_mut().insert(id, open);
+        let me = self.me.clone();
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep_until((deadline + OVERDUE).into()).await;
+            if let Some(core) = me.upgrade() {
+                core.overdue(id);
+            }
+        });
+        self.handle(Event::Request(ask));
+        Some(ClientEnd::new(exchange))
+    }
+
+    fn gone(&self, id: RequestId) {
+        match self.open.borrow_mut().get_mut(&id) {
+            Some(open) if !open.left && !open.answered => {
+                (open.left, open.answered) = (true, true);
+                self.done(open, "client-left");
+            }
+            Some(open) if !open.left && open.started => {
+                open.left = true;
+                // A stream that nobody reads ends.
+                if let Some(stop) = open.current.as_mut().and_then(|current| current.1.take()) {
+                    let _ = stop.send(());
+                }
+            }
+            _ => return,
+        }
+        self.handle(Event::Gone(id));
+        self.sweep(id);
+    }
+
+    /// The module never leaves a request so long; if it does, the client still gets its answer.
+    fn overdue(&self, id: RequestId) {
+        let late = self.open.borrow().get(&id).is_some_and(|open| !open.answered && open.current.is_none());
+        if late {
+            log!("request overdue number={}", id.0);
+            self.answer(id, Opening::Failed);
+            self.handle(Event::Gone(id));
+        }
+    }
+
+    /// An attempt's answer begins: from here on it belongs to the client. False if the client has an answer
+    /// already or left.
+    pub fn started(&self, request: RequestId, attempt: Attempt) -> bool {
+        {
+            let mut all = self.open.borrow_mut();
+            let Some(open) = all.get_mut(&request) else { return false };
+            if open.answered || open.attempts != attempt.0 + 1 {
+                return false;
+            }
+            (open.started, open.answered) = (true, true);
+            open.reader = None;
+            open.exchange.open(Opening::Stream);
+        }
+        self.handle(Event::First { request, attempt });
+        true
+    }
+
+    /// An attempt ended.
+    pub fn ended(&self, request: RequestId, attempt: Attempt, ended: Ended) {
+        let mut verdict = ended.verdict;
+        let mut orphan = None;
+        let settled = {
+            let mut all = self.open.borrow_mut();
+            let Some(open) = all.get_mut(&request) else { return };
+            let Some((server, _)) = open.current.take() else { return };
+            let reads = server.role == Role::Reader;
+            if verdict == Verdict::Read {
+                open.reader = Some(server.clone());
+            } else if reads && ended.written && verdict != Verdict::Full {
+                // The read may have ended well at the very moment its connection ended.
+                orphan = Some((open.exchange.call.label.clone(), server.clone()));
+            }
+            if !ended.written && verdict == Verdict::Cancelled {
+                // Never sent whole: it proves that it never ran.
+                verdict = if open.left { Verdict::Moot } else { Verdict::NoRoute };
+            }
+            if open.started {
+                let how = match (open.left, verdict) {
+                    (_, Verdict::Ok) => "served",
+                    (true, _) => "client-left",
+                    (false, _) => "broken",
+                };
+                self.done(open, how);
+                if open.left {
+                    // Nothing speaks against a server whose reader went away.
+                    verdict = Verdict::Ok;
+                }
+            }
+            if verdict != Verdict::Ok && verdict != Verdict::Read {
+                log!(
+                    "attempt id={} try={} server={} role={} verdict={:?} reason={}",
+                    open.exchange.call.label,
+                    attempt.0,
+                    server.label,
+                    if reads { "reader" } else { "writer" },
+                    verdict,
+                    ended.reason
+                );
+            }
+            open.answered
+        };
+        if let (Some((label, server)), Some(servers)) = (orphan, self.servers.borrow().as_ref()) {
+            servers.release(&label, vec![server]);
+        }
+        let Ended { kept, report, .. } = ended;
+        self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept, report }));
+        self.sweep(request);
+    }
+
+    /// The final answer, if the client has none yet.
+    fn answer(&self, id: RequestId, opening: Opening) {
+        if let Some(open) = self.open.borrow_mut().get_mut(&id).filter(|open| !open.answered) {
+            open.answered = true;
+            open.exchange.open(opening);
+            self.done(open, if opening == Opening::Failed { "failed" } else { "refused" });
+        }
+    }
+
+    /// One line for each request: its final outcome.
+    fn done(&self, open: &Open, outcome: &str) {
+        let call = &open.exchange.call;
+        log!(
+            "request id={} class={} outcome={} attempts={} ms={}",
+            call.label,
+            self.names.classes.get(call.class.0).map_or("-", |name| name),
+            outcome,
+            open.attempts,
+            call.arrived.elapsed().as_millis()
+        );
+    }
+
+    /// Forgets a request that has its answer and no attempt out.
+    fn sweep(&self, id: RequestId) {
+        let mut all = self.open.borrow_mut();
+        if all.get(&id).is_some_and(|open| open.answered && open.current.is_none())
+            && let Some(open) = all.remove(&id)
+        {
+            self.labels.borrow_mut().remove(&open.exchange.call.label);
+        }
+    }
+
+    // The module.
+
+    fn handle(&self, event: Event) {
+        let mut actions = Vec::new();
+        self.router.borrow_mut().handle(self.now(), event, &mut actions);
+        for action in actions {
+            self.perform(action);
+        }
+    }
+
+    fn perform(&self, action: Action) {
+        match action {
+            Action::Send { request, server, timeout } => self.send(request, server, timeout),
+            Action::Cancel { request, attempt } => {
+                let mut all = self.open.borrow_mut();
+                let open = all.get_mut(&request).filter(|open| open.attempts == attempt.0 + 1);
+                if let Some(stop) = open.and_then(|o| o.current.as_mut()).and_then(|c| c.1.take()) {
+                    let _ = stop.send(());
+                }
+            }
+            Action::Refuse { request, backoff } => {
+                self.answer(request, Opening::Refused(backoff.map(|b| Duration::from_nanos(b.0))));
+                self.later_sweep(request);
+            }
+            Action::Fail(request) => {
+                self.answer(request, Opening::Failed);
+                self.later_sweep(request);
+            }
+            Action::Release(request) => self.release(request),
+            Action::Timer { timer, after } => {
+                let me = self.me.clone();
+                actix_rt::spawn(async move {
+                    actix_rt::time::sleep(Duration::from_nanos(after.0)).await;
+                    if let Some(core) = me.upgrade() {
+                        core.handle(Event::Timer(timer));
+                    }
+                });
+            }
+            // Probes are not allowed where this router works, and the list is watched without being asked.
+            Action::Probe(_) | Action::Subscribe => {}
+        }
+    }
+
+    /// A release may follow the final answer in the same batch: the request is kept until then.
+    fn later_sweep(&self, id: RequestId) {
+        let me = self.me.clone();
+        actix_rt::spawn(async move {
+            if let Some(core) = me.upgrade() {
+                core.sweep(id);
+            }
+        });
+    }
+
+    fn release(&self, id: RequestId) {
+        let at = match self.open.borrow_mut().get_mut(&id) {
+            Some(open) => (open.exchange.call.label.clone(), open.reader.take()),
+            None => return,
+        };
+        if let (label, Some(reader)) = at
+            && let Some(servers) = self.servers.borrow().as_ref()
+        {
+            servers.release(&label, vec![reader]);
+        }
+    }
+
+    fn send(&self, id: RequestId, to: ServerId, timeout: Option<Span>) {
+        let me = self.me.clone();
+        let mut all = self.open.borrow_mut();
+        let Some(open) = all.get_mut(&id) else { return };
+        let attempt = Attempt(open.attempts);
+        open.attempts += 1;
+        let server = self.list.borrow().get(&to).cloned();
+        let Some(server) = server.filter(|_| open.current.is_none()) else {
+            // Never sent; the module hears so after this batch.
+            actix_rt::spawn(async move {
+                let Some(core) = me.upgrade() else { return };
+                let verdict = Verdict::Moot;
+                let outcome =
+                    Outcome { request: id, attempt, verdict, settled: false, kept: None, report: None };
+                core.handle(Event::Outcome(outcome));
+                core.sweep(id);
+            });
+            return;
+        };
+        let (stop, stopped) = oneshot::channel();
+        open.current = Some((server.clone(), Some(stop)));
+        let wait = timeout.map_or(open.deadline, |t| Instant::now() + Duration::from_nanos(t.0));
+        let order = Order {
+            exchange: open.exchange.clone(),
+            request: id,
+            attempt,
+            server,
+            until: wait.min(open.deadline),
+            deadline: open.deadline,
+            stop: stopped,
+        };
+        drop(all);
+        if let Some(servers) = self.servers.borrow().as_ref() {
+            servers.send(order);
+        }
+    }
+
+    /// Servers that could take a release in another's place.
+    pub fn others(&self) -> Vec<Rc<Server>> {
+        self.list.borrow().values().filter(|s| s.told.get().is_none()).cloned().collect()
+    }
+}
+
+fn tell(server: &Server, now: Instant) {
+    if server.told.get().is_none() {
+        server.told.set(Some(now));
+    }
+}
+
+fn server_id(label: &str) -> ServerId {
+    ServerId(config::hash(label))
+}
--- /dev/null
+++ b/router/src/exchange.rs
@@ -0,0 +1,205 @@
+//! The one object in which clients and servers meet: a request, the answer's stream, and the news that the
+//! client left. It knows no HTTP and takes no decision.
+
+use bytes::Bytes;
+use shedrelay::{ClassId, Key, TenantId};
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+use std::time::{Duration, Instant};
+
+/// Bytes of an answer that may wait for a slow client; past this its server is not read from.
+const MOST_WAITING: usize = 64 * 1024;
+
+/// A request as the core sees it.
+pub struct Call {
+    /// Its id, as servers and the log know it.
+    pub label: String,
+    /// The conversation.
+    pub session: Option<Key>,
+    /// The beginning that it shares with other conversations.
+    pub prefix: Option<Key>,
+    /// Length of that beginning in tokens.
+    pub prefix_len: f64,
+    /// Length of the prompt in tokens.
+    pub prompt_len: f64,
+    /// Most tokens the answer may have.
+    pub max_out: f64,
+    /// Its class.
+    pub class: ClassId,
+    /// Its customer.
+    pub tenant: Option<TenantId>,
+    /// When it came.
+    pub arrived: Instant,
+    /// What the client will wait for a first token, from its send.
+    pub budget: Duration,
+    /// What servers are asked for; only they look into it.
+    pub target: String,
+    /// The request's body.
+    pub body: Bytes,
+}
+
+/// How an answer begins.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Opening {
+    /// A server's events follow.
+    Stream,
+    /// Refused: trying again is harmless, after this time if one is told.
+    Refused(Option<Duration>),
+    /// Failed, with no word on its effect.
+    Failed,
+}
+
+/// The stream ended before its end.
+#[derive(Debug, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// The client left.
+#[derive(Debug)]
+pub struct Left;
+
+#[derive(Default)]
+struct State {
+    opening: Option<Opening>,
+    waiting: VecDeque<Bytes>,
+    size: usize,
+    end: Option<bool>,
+    client: Option<Waker>,
+    server: Option<Waker>,
+}
+
+/// A request on its way.
+pub struct Exchange {
+    /// The request.
+    pub call: Call,
+    state: RefCell<State>,
+    left: Cell<bool>,
+    on_leave: RefCell<Option<Box<dyn FnOnce()>>>,
+}
+
+impl Exchange {
+    /// A request that has just come.
+    pub fn new(call: Call) -> Rc<Self> {
+        Rc::new(Exchange {
+            call,
+            state: RefCell::default(),
+            left: Cell::new(false),
+            on_leave: RefCell::default(),
+        })
+    }
+
+    // For the core.
+
+    /// Runs once if the client leaves before its answer is whole.
+    pub fn on_leave(&self, hear: impl FnOnce() + 'static) {
+        *self.on_leave.borrow_mut() = Some(Box::new(hear));
+    }
+
+    /// The answer begins. The core calls this once for each request.
+    pub fn open(&self, opening: Opening) {
+        let mut state = self.state.borrow_mut();
+        state.opening = Some(opening);
+        if opening != Opening::Stream {
+            state.end = Some(true);
+        }
+        wake(&mut state.client);
+    }
+
+    // For the servers' side.
+
+    /// Hands on a piece of the answer; waits while the client is slow.
+    pub async fn push(&self, piece: Bytes) -> Result<(), Left> {
+        poll_fn(|cx| {
+            let mut state = self.state.borrow_mut();
+            if self.left.get() {
+                return Poll::Ready(Err(Left));
+            }
+            if state.size >= MOST_WAITING {
+                state.server = Some(cx.waker().clone());
+                return Poll::Pending;
+            }
+            Poll::Ready(Ok(()))
+        })
+        .await?;
+        let mut state = self.state.borrow_mut();
+        state.size += piece.len();
+        state.waiting.push_back(piece);
+        wake(&mut state.client);
+        Ok(())
+    }
+
+    /// The answer ends, whole or not.
+    pub fn close(&self, whole: bool) {
+        let mut state = self.state.borrow_mut();
+        state.end.get_or_insert(whole);
+        wake(&mut state.client);
+    }
+}
+
+fn wake(waker: &mut Option<Waker>) {
+    if let Some(waker) = waker.take() {
+        waker.wake();
+    }
+}
+
+/// The client's end of an exchange. Dropping it before the answer's end says that the client left.
+pub struct ClientEnd {
+    exchange: Rc<Exchange>,
+    taken: bool,
+}
+
+impl ClientEnd {
+    /// The client's end of this exchange.
+    pub fn new(exchange: Rc<Exchange>) -> Self {
+        ClientEnd { exchange, taken: false }
+    }
+
+    /// Waits for the answer to begin.
+    pub async fn opening(&mut self) -> Opening {
+        let opening = poll_fn(|cx| {
+            let mut state = self.exchange.state.borrow_mut();
+            state.client = Some(cx.waker().clone());
+            state.opening.map_or(Poll::Pending, Poll::Ready)
+        })
+        .await;
+        self.taken |= opening != Opening::Stream;
+        opening
+    }
+
+    /// The next piece of the answer, or nothing at its end.
+    pub fn poll_piece(&mut self, cx: &mut std::task::Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
+        let mut state = self.exchange.state.borrow_mut();
+        if let Some(piece) = state.waiting.pop_front() {
+            state.size -= piece.len();
+            wake(&mut state.server);
+            return Poll::Ready(Some(Ok(piece)));
+        }
+        match state.end {
+            Some(whole) => {
+                self.taken = true;
+                Poll::Ready(if whole { None } else { Some(Err(Broken)) })
+            }
+            None => {
+                state.client = Some(cx.waker().clone());
+                Poll::Pending
+            }
+        }
+    }
+}
+
+impl Drop for ClientEnd {
+    fn drop(&mut self) {
+        if self.taken {
+            return;
+        }
+        self.exchange.left.set(true);
+        wake(&mut self.exchange.state.borrow_mut().server);
+        let hear = self.exchange.on_leave.borrow_mut().take();
+        if let Some(hear) = hear {
+            hear();
+        }
+    }
+}
--- /dev/null
+++ b/router/src/list/discovery.rs
@@ -0,0 +1,85 @@
+//! The platform's discovery: one watch that stays open, opened again with a growing wait when it ends.
+
+use super::{Update, Wire};
+use crate::log;
+use bytes::Bytes;
+use futures_core::Stream;
+use std::future::poll_fn;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// First wait before a watch is opened again; doubles up to the longest while nothing comes.
+const FIRST_WAIT: Duration = Duration::from_millis(50);
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// An empty line comes every 2 s while discovery is well. After so long without one the watch is opened anew,
+/// which costs nothing: a connection that died silently would never say so.
+const SILENCE: Duration = Duration::from_secs(9);
+/// The answer's head must come in this time; a silent discovery is asked again.
+const HEAD: Duration = Duration::from_secs(5);
+/// A line longer than this is no list.
+const LONGEST_LINE: usize = 4 * 1024 * 1024;
+
+/// Follows the list for ever. `from` is the version of the list already known.
+pub async fn follow(address: SocketAddr, mut from: u64, mut hear: impl FnMut(Update)) {
+    let mut wait = FIRST_WAIT;
+    loop {
+        let before = from;
+        let reason = watch(address, &mut from, &mut hear).await;
+        log!("connection peer=discovery code={reason} revision={from}");
+        wait = if from == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
+        actix_rt::time::sleep(wait).await;
+    }
+}
+
+async fn watch(address: SocketAddr, from: &mut u64, hear: &mut impl FnMut(Update)) -> &'static str {
+    let connector = awc::Connector::new().timeout(HEAD).limit(1);
+    let client = awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .no_default_headers()
+        .finish();
+    let uri = format!("http://{address}/v1/servers?watch=1&from={from}");
+    let asked = actix_rt::time::timeout(HEAD, client.get(uri).send()).await;
+    let mut answer = match asked {
+        Ok(Ok(answer)) if answer.status() == awc::http::StatusCode::OK => answer,
+        Ok(Ok(_)) => return "bad-status",
+        Ok(Err(_)) => return "no-connection",
+        Err(_) => return "silent",
+    };
+    let mut line = Vec::new();
+    loop {
+        let piece = poll_fn(|cx| Pin::new(&mut answer).poll_next(cx));
+        let piece: Bytes = match actix_rt::time::timeout(SILENCE, piece).await {
+            Ok(Some(Ok(piece))) => piece,
+            Ok(Some(Err(_))) => return "broken",
+            Ok(None) => return "ended",
+            Err(_) => return "silent",
+        };
+        for part in piece.split_inclusive(|byte| *byte == b'\n') {
+            line.extend_from_slice(part);
+            if line.len() > LONGEST_LINE {
+                return "line-too-long";
+            }
+            if part.ends_with(b"\n") {
+                take(&line, from, hear);
+                line.clear();
+            }
+        }
+    }
+}
+
+/// One line of the watch. Garbage is dropped: the list stays as it was.
+fn take(line: &[u8], from: &mut u64, hear: &mut impl FnMut(Update)) {
+    if line.trim_ascii().is_empty() {
+        return;
+    }
+    match serde_json::from_slice::<Wire>(line) {
+        Ok(wire) => {
+            *from = wire.revision;
+            hear(wire.update());
+        }
+        Err(error) => log!("list dropped reason=bad-line error=\"{error}\""),
+    }
+}
--- /dev/null
+++ b/router/src/main.rs
@@ -0,0 +1,76 @@
+//! `fawnstream`: a router for language-model requests, on sockets. `docs/architecture.md` says how its parts fit.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod clients;
+mod config;
+mod core;
+mod exchange;
+mod list;
+mod log;
+mod servers;
+mod sse;
+
+use clients::{Shared, platform};
+use config::Config;
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+/// After SIGTERM clients keep coming for a moment, until the front layer has heard; they are still served.
+const STILL_OPEN: Duration = Duration::from_millis(600);
+/// The longest wait for answers under way; the platform kills what is left.
+const LAST_ANSWERS: Duration = Duration::from_secs(60);
+
+/// Why the program ends with a failure.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error(transparent)]
+    Config(#[from] config::ConfigError),
+    #[error(transparent)]
+    Settings(#[from] shedrelay::SettingsError),
+    #[error("{what}: {error}")]
+    Io { what: String, error: std::io::Error },
+}
+
+async fn run() -> Result<(), Failure> {
+    let config = Config::load()?;
+    let io = |what: String| move |error| Failure::Io { what, error };
+    let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM".to_owned()))?;
+    let core = core::Core::new(config.settings, config.names, config.seed)?;
+    core.connect(servers::Fleet::new(core.clone(), config.links, config.server_sockets));
+    let from = config.known.as_ref().map_or(0, |known| known.revision);
+    if let Some(known) = config.known {
+        core.listed(known.update());
+    }
+    let listed = core.clone();
+    actix_rt::spawn(list::discovery::follow(config.discovery, from, move |update| listed.listed(update)));
+    let listener =
+        TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
+    let shared = Shared::new(core.clone(), config.client_sockets);
+    actix_rt::spawn(clients::serve(listener, shared.clone(), platform::front));
+    log!("started name={} listen={} discovery={}", config.name, config.listen, config.discovery);
+
+    term.recv().await;
+    log!("stopping requests={} connections={}", core.busy(), shared.open());
+    shared.stopping.set(true);
+    actix_rt::time::sleep(STILL_OPEN).await;
+    shared.drain();
+    let last = Instant::now() + LAST_ANSWERS;
+    while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
+        actix_rt::time::sleep(Duration::from_millis(10)).await;
+    }
+    log!("stopped requests={} connections={}", core.busy(), shared.open());
+    Ok(())
+}
+
+fn main() -> ExitCode {
+    match actix_rt::System::new().block_on(run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("fawnstream: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/router/src/servers.rs
@@ -0,0 +1,287 @@
+//! Servers: sends attempts, says how they ended by the protocol's table, reads load reports and releases what
+//! is held. Takes no decision. Nothing is ever sent twice: a connection that fails ends its attempt.
+
+mod link;
+
+use crate::core::{Core, Ended, Order, Server};
+use crate::exchange::Left;
+use crate::log;
+use crate::sse;
+use actix_http::error::ParseError;
+use awc::ClientResponse;
+use awc::error::{ConnectError, SendRequestError};
+use awc::http::StatusCode;
+use awc::http::header::CONTENT_TYPE;
+use bytes::Bytes;
+use futures_core::Stream;
+use link::{Lane, Pool};
+use serde::Deserialize;
+use shedrelay::{Report, Role, Verdict};
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A body that is no stream is read up to this size and for this long, so that its connection can be used again.
+const SMALL_BODY: usize = 16 * 1024;
+const SMALL_BODY_TIME: Duration = Duration::from_millis(100);
+/// A stream that says nothing for so long has a dead server: nothing else ends it when a machine vanishes.
+const STALL: Duration = Duration::from_secs(20);
+/// One try of a release, and how many there are: all together well under the time that a state may be held.
+const RELEASE_TRY: Duration = Duration::from_millis(120);
+const RELEASE_TRIES: usize = 5;
+
+/// The servers' side of the router.
+pub struct Fleet {
+    core: Rc<Core>,
+    pool: Rc<Pool>,
+}
+
+impl Fleet {
+    /// With so many connections at most.
+    pub fn new(core: Rc<Core>, links: shedrelay_settings::Links, sockets: usize) -> Rc<Self> {
+        let pool = Pool::new(links, sockets);
+        pool.clone().sweep();
+        Rc::new(Fleet { core, pool })
+    }
+}
+
+impl crate::core::Servers for Fleet {
+    fn send(&self, order: Order) {
+        let (core, pool) = (self.core.clone(), self.pool.clone());
+        actix_rt::spawn(async move {
+            let (request, attempt) = (order.request, order.attempt);
+            let ended = run(&core, &pool, order).await;
+            core.ended(request, attempt, ended);
+        });
+    }
+
+    fn release(&self, label: &str, at: Vec<Rc<Server>>) {
+        let (core, pool, label) = (self.core.clone(), self.pool.clone(), label.to_owned());
+        actix_rt::spawn(async move { release(&core, &pool, &label, at).await });
+    }
+
+    fn retire(&self, server: &Server) {
+        self.pool.forget(server.address);
+    }
+}
+
+/// What a server says of its load.
+fn report(text: &[u8]) -> Option<Report> {
+    #[derive(Deserialize)]
+    struct Wire {
+        x0: f64,
+    }
+    let wire: Wire = serde_json::from_slice(text).ok()?;
+    Some(Report { memory_share: wire.x0 }).filter(|report| report.memory_share.is_finite())
+}
+
+/// What a stream tells in its last events.
+#[derive(Default)]
+struct Tail {
+    lines: sse::Lines,
+    done: bool,
+    kept: Option<f64>,
+    report: Option<Report>,
+}
+
+impl Tail {
+    fn feed(&mut self, piece: &[u8]) {
+        let Tail { lines, done, kept, report: told } = self;
+        lines.feed(piece, |line| {
+            if let Some(data) = sse::field(line, "data") {
+                *done |= data == b"[DONE]";
+                if data.windows(14).any(|part| part == b"\"cached_tokens") {
+                    *kept = cached(data).or(*kept);
+                }
+            } else if let Some(text) = sse::field(line, ": X-Load-Report") {
+                *told = report(text);
+            }
+        });
+    }
+}
+
+/// Prompt tokens found kept, as the last events of a stream report them.
+fn cached(data: &[u8]) -> Option<f64> {
+    let value: serde_json::Value = serde_json::from_slice(data).ok()?;
+    value.pointer("/usage/prompt_tokens_details/cached_tokens")?.as_f64()
+}
+
+/// One attempt from its send to its end.
+async fn run(core: &Core, pool: &Rc<Pool>, mut order: Order) -> Ended {
+    let ended = |verdict, written, reason| Ended { verdict, kept: None, report: None, written, reason };
+    let Some(lane) = pool.take(&order.server) else {
+        return ended(Verdict::Moot, false, "no-sockets");
+    };
+    let call = &order.exchange.call;
+    let body = lane.watch(order.server.clone(), call.body.clone());
+    let left = order.deadline.saturating_duration_since(Instant::now());
+    let asked = lane
+        .client
+        .post(format!("http://{}{}", order.server.address, call.target))
+        .insert_header((CONTENT_TYPE, "application/json"))
+        .insert_header(("X-Call-Id", call.label.as_str()))
+        .insert_header(("X-Budget", format!("{:.3}", left.as_secs_f64())))
+        .send_body(body);
+    let until = order.until;
+    let cut = |lane: &Lane, verdict, reason| {
+        lane.closing(reason);
+        let written = lane.written();
+        // A connection closed before the last byte was written proves that nothing ran.
+        let verdict = if verdict == Verdict::Timeout && !written { Verdict::NoRoute } else { verdict };
+        ended(verdict, written, reason)
+    };
+    let answer = tokio::select! {
+        biased;
+        answer = asked => answer,
+        _ = &mut order.stop => return cut(&lane, Verdict::Cancelled, "cancelled"),
+        () = actix_rt::time::sleep_until(until.into()) => return cut(&lane, Verdict::Timeout, "timed-out"),
+    };
+    let mut answer = match answer {
+        Ok(answer) => answer,
+        Err(error) => {
+            let (verdict, reason) = failed(&error, lane.written(), lane.refused());
+            lane.closing(reason);
+            return ended(verdict, lane.written(), reason);
+        }
+    };
+    let rejected = answer.headers().get("X-Rejected").is_some_and(|value| value.as_bytes() == b"1");
+    let told = answer.headers().get("X-Load-Report").and_then(|value| report(value.as_bytes()));
+    let (verdict, reason) = match (answer.status(), order.server.role) {
+        (StatusCode::OK, Role::Writer | Role::Mixed) => {
+            let mut ended = stream(core, &mut order, &mut answer, &lane, until).await;
+            if ended.verdict == Verdict::Ok {
+                pool.give(lane);
+            } else {
+                lane.closing(ended.reason);
+            }
+            ended.report = ended.report.or(told);
+            return ended;
+        }
+        (StatusCode::ACCEPTED, Role::Reader | Role::Mixed) => (Verdict::Read, "read"),
+        (StatusCode::GONE, _) if rejected => (Verdict::NoState, "no-state"),
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT, _) if rejected => {
+            (Verdict::Full, "rejected")
+        }
+        (status, _) if status.is_server_error() => (Verdict::Error, "server-error"),
+        _ => (Verdict::Error, "bad-answer"),
+    };
+    let body = small(&mut answer).await;
+    match body {
+        Some(_) if !lane.ended() => pool.give(lane),
+        _ => lane.closing("body-broken"),
+    }
+    #[derive(Deserialize)]
+    struct Kept {
+        cached_tokens: f64,
+    }
+    let kept = body.filter(|_| verdict == Verdict::Read);
+    let kept =
+        kept.and_then(|body| serde_json::from_slice::<Kept>(&body).ok()).map(|kept| kept.cached_tokens);
+    Ended { verdict, kept, report: told, written: true, reason }
+}
+
+/// Has it run? The protocol's table, for attempts that got no answer's head.
+fn failed(error: &SendRequestError, written: bool, refused: bool) -> (Verdict, &'static str) {
+    match error {
+        _ if refused => (Verdict::Moot, "draining"),
+        SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
+        _ if !written => (Verdict::NoRoute, "no-connection"),
+        SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, "reset"),
+        SendRequestError::Response(_) => (Verdict::Error, "garbage"),
+        _ => (Verdict::Reset, "reset"),
+    }
+}
+
+async fn piece(answer: &mut ClientResponse) -> Option<Result<Bytes, ()>> {
+    poll_fn(|cx| Pin::new(&mut *answer).poll_next(cx)).await.map(|piece| piece.map_err(|_| ()))
+}
+
+/// Reads a small body to its end; none if it is large, slow or broken.
+async fn small(answer: &mut ClientResponse) -> Option<Vec<u8>> {
+    let all = async {
+        let mut body = Vec::new();
+        while let Some(piece) = piece(answer).await {
+            body.extend_from_slice(&piece.ok()?);
+            if body.len() > SMALL_BODY {
+                return None;
+            }
+        }
+        Some(body)
+    };
+    actix_rt::time::timeout(SMALL_BODY_TIME, all).await.ok().flatten()
+}
+
+/// Passes a writer's stream on, as it comes.
+async fn stream(
+    core: &Core,
+    order: &mut Order,
+    answer: &mut ClientResponse,
+    lane: &Lane,
+    until: Instant,
+) -> Ended {
+    let mut tail = Tail::default();
+    let mut started = false;
+    let mut limit = until;
+    let (verdict, reason) = loop {
+        let next = tokio::select! {
+            biased;
+            next = piece(answer) => next,
+            _ = &mut order.stop => break (Verdict::Cancelled, "cancelled"),
+            () = actix_rt::time::sleep_until(limit.into()) => {
+                break if started { (Verdict::Reset, "stalled") } else { (Verdict::Timeout, "timed-out") };
+            }
+        };
+        match next {
+            Some(Ok(bytes)) => {
+                tail.feed(&bytes);
+                if !started {
+                    if !core.started(order.request, order.attempt) {
+                        break (Verdict::Cancelled, "not-wanted");
+                    }
+                    started = true;
+                }
+                let pushed = tokio::select! {
+                    biased;
+                    _ = &mut order.stop => Err(Left),
+                    pushed = order.exchange.push(bytes) => pushed,
+                };
+                if pushed.is_err() {
+                    break (Verdict::Cancelled, "client-left");
+                }
+                limit = Instant::now() + STALL;
+            }
+            Some(Err(())) => break (Verdict::Reset, "stream-broken"),
+            None if lane.ended() => break (Verdict::Reset, "stream-broken"),
+            None if !tail.done => break (Verdict::Reset, "no-final-event"),
+            None => break (Verdict::Ok, "whole"),
+        }
+    };
+    if started {
+        order.exchange.close(verdict == Verdict::Ok);
+    }
+    Ended { verdict, kept: tail.kept, report: tail.report, written: true, reason }
+}
+
+/// Lets go of all that is held for a request: at the server that may hold it, and while that can't be heard at
+/// others, since every server passes a release on. Only an answer counts: a dead machine takes bytes too.
+async fn release(core: &Core, pool: &Rc<Pool>, label: &str, at: Vec<Rc<Server>>) {
+    let mut others = core.others();
+    let first = at.first().map_or(0, |server| server.address.port());
+    others.sort_by_key(|server| crate::config::hash(&server.label) ^ u64::from(first));
+    let others = others.iter().filter(|other| !at.iter().any(|server| Rc::ptr_eq(server, other)));
+    for server in at.iter().chain(others).take(RELEASE_TRIES) {
+        let Some(lane) = pool.take(server) else { continue };
+        let uri = format!("http://{}/bootstrap/rooms/{label}", server.address);
+        lane.unwatched();
+        let asked = async {
+            let mut answer = lane.client.delete(uri).send().await.ok()?;
+            small(&mut answer).await.filter(|_| answer.status().is_success())
+        };
+        if actix_rt::time::timeout(RELEASE_TRY, asked).await.ok().flatten().is_some() {
+            return pool.give(lane);
+        }
+        lane.closing("release-failed");
+    }
+    log!("release failed id={label}");
+}
--- /dev/null
+++ b/router/src/servers/link.rs
@@ -0,0 +1,297 @@
+//! Connections to servers. Each is an awc client of its own with room for one connection, so that this side
+//! knows what awc alone would hide: which connection carries an attempt, and whether its last byte was written.
+
+use crate::core::Server;
+use crate::log;
+use actix_http::body::{BodySize, MessageBody};
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::Service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use bytes::Bytes;
+use shedrelay_settings::Links;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Idle connections go after this part of the time after which servers close them: a close that crosses a
+/// request would be a reset, and the request lost.
+const IDLE_PART: f64 = 0.6;
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(500);
+/// The first byte to a server that takes nothing new is written no later than this after the news.
+const LATEST_SEND: Duration = Duration::from_millis(350);
+
+/// What is known of the request now on a connection.
+#[derive(Default)]
+struct Meter {
+    body_done: Cell<bool>,
+    written: Cell<bool>,
+    begun: Cell<bool>,
+    refused: Cell<bool>,
+    ended: Cell<bool>,
+    code: Cell<&'static str>,
+    server: RefCell<Option<Rc<Server>>>,
+}
+
+/// A body that notes when it has been handed over whole.
+pub struct Watched {
+    body: Option<Bytes>,
+    size: u64,
+    meter: Rc<Meter>,
+}
+
+impl MessageBody for Watched {
+    type Error = Infallible;
+
+    fn size(&self) -> BodySize {
+        BodySize::Sized(self.size)
+    }
+
+    fn poll_next(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
+        let this = self.get_mut();
+        let next = this.body.take().filter(|body| !body.is_empty());
+        if next.is_none() {
+            this.meter.body_done.set(true);
+        }
+        Poll::Ready(next.map(Ok))
+    }
+}
+
+/// A connection that notes what passes over it. awc flushes once a request's last byte was written.
+pub struct Wire {
+    stream: TcpStream,
+    address: SocketAddr,
+    meter: Rc<Meter>,
+    open: Rc<Cell<usize>>,
+}
+
+impl std::fmt::Debug for Wire {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "Wire({})", self.address)
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.open.set(self.open.get() - 1);
+        let code = if self.meter.code.get().is_empty() { "cancelled" } else { self.meter.code.get() };
+        log!("connection peer=server address={} code={code}", self.address);
+    }
+}
+
+impl AsyncRead for Wire {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        let before = buf.filled().len();
+        let read = Pin::new(&mut this.stream).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before {
+            this.meter.ended.set(true);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Wire {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = self.get_mut();
+        if !this.meter.begun.get() {
+            // The drain rule binds sends that wait for a connection too.
+            let server = this.meter.server.borrow();
+            let told = server.as_ref().and_then(|server| server.told.get());
+            if told.is_some_and(|told| told.elapsed() > LATEST_SEND) {
+                this.meter.refused.set(true);
+                return Poll::Ready(Err(io::Error::other("the server takes nothing new")));
+            }
+        }
+        let wrote = Pin::new(&mut this.stream).poll_write(cx, buf);
+        if matches!(wrote, Poll::Ready(Ok(_))) {
+            this.meter.begun.set(true);
+        }
+        wrote
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if this.meter.body_done.get() && this.meter.begun.get() {
+            this.meter.written.set(true);
+        }
+        Pin::new(&mut this.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Wire {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
+
+/// Opens the connections of one lane.
+#[derive(Clone)]
+struct Dial {
+    address: SocketAddr,
+    meter: Rc<Meter>,
+    open: Rc<Cell<usize>>,
+}
+
+impl Service<ConnectInfo<Uri>> for Dial {
+    type Response = Connection<Uri, Wire>;
+    type Error = ConnectError;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>>>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let Dial { address, meter, open } = self.clone();
+        Box::pin(async move {
+            let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            open.set(open.get() + 1);
+            meter.ended.set(false);
+            Ok(Connection::new(info.request().clone(), Wire { stream, address, meter, open }))
+        })
+    }
+}
+
+/// A client with one connection, for one request at a time.
+pub struct Lane {
+    /// The client.
+    pub client: awc::Client,
+    address: SocketAddr,
+    meter: Rc<Meter>,
+    idle_since: Instant,
+}
+
+impl Lane {
+    /// Prepares for a request that counts as an attempt at this server.
+    pub fn watch(&self, server: Rc<Server>, body: Bytes) -> Watched {
+        self.unwatched();
+        self.meter.body_done.set(body.is_empty());
+        *self.meter.server.borrow_mut() = Some(server);
+        Watched { size: body.len() as u64, body: Some(body), meter: self.meter.clone() }
+    }
+
+    /// Prepares for a request that counts as none.
+    pub fn unwatched(&self) {
+        let meter = &self.meter;
+        for flag in [&meter.body_done, &meter.written, &meter.begun, &meter.refused, &meter.ended] {
+            flag.set(false);
+        }
+        meter.code.set("");
+        *meter.server.borrow_mut() = None;
+    }
+
+    /// The request's last byte was written.
+    pub fn written(&self) -> bool {
+        self.meter.written.get()
+    }
+
+    /// Nothing was written, since the server takes nothing new.
+    pub fn refused(&self) -> bool {
+        self.meter.refused.get()
+    }
+
+    /// The server ended the connection.
+    pub fn ended(&self) -> bool {
+        self.meter.ended.get()
+    }
+
+    /// Says for the log why the connection is about to end.
+    pub fn closing(&self, code: &'static str) {
+        self.meter.code.set(code);
+    }
+}
+
+/// All connections to servers.
+pub struct Pool {
+    idle: RefCell<HashMap<SocketAddr, Vec<Lane>>>,
+    open: Rc<Cell<usize>>,
+    most: usize,
+    links: Links,
+}
+
+impl Pool {
+    /// With so many connections at most.
+    pub fn new(links: Links, most: usize) -> Rc<Self> {
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, links })
+    }
+
+    fn longest_idle(&self) -> Duration {
+        Duration::from_nanos(self.links.idle.0).mul_f64(IDLE_PART)
+    }
+
+    /// A lane to this server: the one used last, or a new one. None if all connections are taken.
+    pub fn take(&self, server: &Server) -> Option<Lane> {
+        let mut idle = self.idle.borrow_mut();
+        if let Some(lane) = idle.get_mut(&server.address).and_then(Vec::pop) {
+            return Some(lane);
+        }
+        if self.open.get() >= self.most {
+            let oldest = idle.values_mut().filter(|lanes| !lanes.is_empty());
+            let oldest = oldest.min_by_key(|lanes| lanes[0].idle_since)?;
+            oldest.remove(0).closing("evicted");
+        }
+        let (address, meter) = (server.address, Rc::<Meter>::default());
+        let dial = Dial { address, meter: meter.clone(), open: self.open.clone() };
+        let connector = awc::Connector::new()
+            .connector(dial)
+            .limit(1)
+            .timeout(Duration::from_nanos(self.links.connect.0))
+            .conn_keep_alive(self.longest_idle())
+            .conn_lifetime(Duration::from_secs(24 * 3_600))
+            .disconnect_timeout(Duration::from_millis(1));
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        Some(Lane { client, address, meter, idle_since: Instant::now() })
+    }
+
+    /// Puts a lane back whose connection is free again.
+    pub fn give(&self, mut lane: Lane) {
+        lane.idle_since = Instant::now();
+        lane.closing("server-closed");
+        self.idle.borrow_mut().entry(lane.address).or_default().push(lane);
+    }
+
+    /// Closes the idle connections to an address.
+    pub fn forget(&self, address: SocketAddr) {
+        for lane in self.idle.borrow_mut().remove(&address).into_iter().flatten() {
+            lane.closing("server-left");
+        }
+    }
+
+    /// Closes what was idle for too long, for ever.
+    pub fn sweep(self: Rc<Self>) {
+        actix_rt::spawn(async move {
+            loop {
+                actix_rt::time::sleep(SWEEP).await;
+                let longest = self.longest_idle();
+                let mut idle = self.idle.borrow_mut();
+                for lanes in idle.values_mut() {
+                    let stale = lanes.partition_point(|lane| lane.idle_since.elapsed() > longest);
+                    lanes.drain(..stale).for_each(|lane| lane.closing("idle"));
+                }
+                idle.retain(|_, lanes| !lanes.is_empty());
+            }
+        });
+    }
+}
--- a/drill/src/wire/settings.rs
+++ b/settings/src/lib.rs
@@ -1,16 +1,33 @@
-//! The wire's settings object. Keys that are not named here are ignored.
+//! The settings object that a router is told, by the simulator's first message or in its configuration.
+//! Keys that are not named here are ignored.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 use serde::Deserialize;
 use shedrelay::*;
 
 /// Names that events use, in the settings' order.
 pub struct Names {
+    /// Request classes.
     pub classes: Vec<String>,
+    /// Customers.
     pub tenants: Vec<String>,
+    /// Machine kinds.
     pub kinds: Vec<String>,
+    /// Zones.
     pub zones: Vec<String>,
 }
 
+/// What the settings say of connections.
+#[derive(Clone, Copy)]
+pub struct Links {
+    /// Servers close a connection idle for so long, at the latest.
+    pub idle: Span,
+    /// A connection that is not up by then has failed.
+    pub connect: Span,
+}
+
+/// The settings object.
 #[derive(Deserialize)]
 pub struct Wire {
     balancers: u32,
@@ -33,6 +50,10 @@
 #[derive(Deserialize)]
 struct Ceilings {
     cancel: bool,
+    #[serde(default = "usual_idle")]
+    conn_idle: u64,
+    #[serde(default = "usual_connect")]
+    connect_timeout: u64,
     max_attempts: u32,
     #[serde(default)]
     max_retry_after: u64,
@@ -85,6 +106,14 @@
     quota_per_s: f64,
 }
 
+fn usual_idle() -> u64 {
+    15_000_000_000
+}
+
+fn usual_connect() -> u64 {
+    250_000_000
+}
+
 impl WireClass {
     fn translate(&self, stretch_us: f64) -> Result<Class, String> {
         let effect = match self.effect.as_str() {
@@ -107,6 +136,11 @@
 }
 
 impl Wire {
+    /// What is told of connections to servers.
+    pub fn links(&self) -> Links {
+        Links { idle: Span(self.ceilings.conn_idle), connect: Span(self.ceilings.connect_timeout) }
+    }
+
     /// The module's settings, and the names that events will use.
     pub fn translate(self) -> Result<(Settings, Names), String> {
         let stretch =
