Add the OpenAI-style front, and recordings that play both fronts against the program

Seen: with the platform's protocol alone, callers of an OpenAI-style API need an adapter that loses class, session and shared opening. The new front (router/src/clients/openai.rs and below) reads them from the messages and from deploy/openai.toml, hands the request to the same core, and renders the core's outcome: chunks, [DONE], usage when asked for, whole answers, error objects, Retry-After. It takes no decision.

Checked: router/tests/play.rs plays 23 recordings over loopback sockets: served, refused, failed, deadlines, bad input, garbage, releases, discovery, SIGTERM, and the hard cases of the second front (a booking whose client leaves mid-answer; a stream without its final event). both/mixed.txt plays mixed classes on both fronts and compares the outcomes.

Found while writing them, each now in a recording: a body that is cut off ends like a whole one in awc (broken.txt); what is buffered is lost if a body fails in the poll in which it was written (broken.txt); what is no event in a stream now breaks it (servers.rs, Tail). Usual client libraries ask again after a 5xx by themselves, so a failure says x-should-retry: false. Conclusion: both fronts end requests alike.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -2,6 +2,7 @@
 //! no decision is taken here.
 
 mod conn;
+pub mod openai;
 pub mod platform;
 
 use crate::core::Core;
@@ -10,7 +11,7 @@
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::{DispatchError, PayloadError};
 use actix_http::header::{self, HeaderValue};
-use actix_http::{HttpMessage as _, HttpService, Request, Response, StatusCode};
+use actix_http::{HttpMessage as _, HttpService, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
 use conn::{Conn, Wire};
@@ -81,7 +82,7 @@
     /// The program is about to end: answers close their connections.
     pub stopping: Cell<bool>,
     slots: Arc<Semaphore>,
-    most: usize,
+    open: Rc<Cell<usize>>,
     stop: watch::Sender<bool>,
 }
 
@@ -89,7 +90,8 @@
     /// With so many client connections at most.
     pub fn new(core: Rc<Core>, most: usize) -> Rc<Self> {
         let slots = Arc::new(Semaphore::new(most));
-        Rc::new(Shared { core, stopping: Cell::new(false), slots, most, stop: watch::Sender::new(false) })
+        let stop = watch::Sender::new(false);
+        Rc::new(Shared { core, stopping: Cell::new(false), slots, open: Rc::default(), stop })
     }
 
     /// No connection is accepted from now on, and those without a request are closed.
@@ -99,7 +101,7 @@
 
     /// Client connections that are open.
     pub fn open(&self) -> usize {
-        self.most - self.slots.available_permits()
+        self.open.get()
     }
 }
 
@@ -158,8 +160,10 @@
                 let conn = Rc::<Conn>::default();
                 let served = handler.call((Wire::new(stream, conn.clone()), Some(peer)));
                 let shared = shared.clone();
+                shared.open.set(shared.open.get() + 1);
                 actix_rt::spawn(async move {
                     let end = served.await;
+                    shared.open.set(shared.open.get() - 1);
                     let code = code(&end, &conn, shared.stopping.get());
                     log!(
                         "connection peer=client address={peer} code={code} requests={}",
@@ -231,18 +235,24 @@
     end: ClientEnd,
     render: R,
     broken: bool,
+    flushed: bool,
 }
 
 /// Turns pieces of a server's stream into what a front sends.
 pub trait Render: Unpin + 'static {
     /// What to send for a piece; may be empty.
     fn piece(&mut self, piece: Bytes) -> Bytes;
+
+    /// What to send when the answer breaks off; may be empty.
+    fn broken(&mut self) -> Bytes {
+        Bytes::new()
+    }
 }
 
 impl<R: Render> Answer<R> {
     /// The body of an answer whose opening was a stream.
     pub fn new(end: ClientEnd, render: R) -> Self {
-        Answer { end, render, broken: false }
+        Answer { end, render, broken: false, flushed: false }
     }
 }
 
@@ -255,10 +265,7 @@
 
     fn poll_next(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Broken>>> {
         let this = self.get_mut();
-        if this.broken {
-            return Poll::Ready(Some(Err(Broken)));
-        }
-        loop {
+        while !this.broken {
             match this.end.poll_piece(cx) {
                 Poll::Ready(Some(Ok(piece))) => {
                     let piece = this.render.piece(piece);
@@ -268,12 +275,29 @@
                 }
                 Poll::Ready(Some(Err(Broken))) => {
                     // What came before must be written first: an error drops what waits in the buffer.
-                    this.broken = true;
-                    cx.waker().wake_by_ref();
-                    return Poll::Pending;
+                    (this.broken, this.flushed) = (true, false);
+                    let last = this.render.broken();
+                    if !last.is_empty() {
+                        return Poll::Ready(Some(Ok(last)));
+                    }
                 }
                 other => return other,
             }
         }
+        if this.flushed {
+            return Poll::Ready(Some(Err(Broken)));
+        }
+        this.flushed = true;
+        cx.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
+
+/// Whether the router could serve now.
+fn health(shared: &Shared, request: &Request) -> Response<BoxBody> {
+    if !matches!(*request.method(), Method::GET | Method::HEAD) {
+        return Response::new(Bad::Method.status());
     }
+    let able = !shared.stopping.get() && shared.core.able();
+    Response::new(if able { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
-use super::{Answer, Bad, Render, Shared, body, note, seconds};
+use super::{Answer, Bad, Render, Shared, body, health, note, seconds};
 use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
 use crate::log;
@@ -74,14 +74,6 @@
     }
 }
 
-fn health(shared: &Shared, request: &Request) -> Response<BoxBody> {
-    if !matches!(*request.method(), Method::GET | Method::HEAD) {
-        return Response::new(Bad::Method.status());
-    }
-    let able = !shared.stopping.get() && shared.core.able();
-    Response::new(if able { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
-}
-
 /// The core's view of a request, from its head.
 fn call(head: &HeaderMap, names: &Names, arrived: Instant, target: String, body: Bytes) -> Result<Call, Bad> {
     let text = |name: &str| match head.get(name).map(HeaderValue::to_str) {
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,5 +1,7 @@
 //! What the platform tells the router: `$PROXY_CONFIG`, and the variables that stand beside it.
 
+pub mod openai;
+
 use crate::list;
 use serde::Deserialize;
 use shedrelay::Settings;
@@ -27,6 +29,9 @@
         /// What went wrong.
         error: std::io::Error,
     },
+    /// An argument that is not known.
+    #[error("usage: fawnstream [--openai FILE]")]
+    Usage,
     /// A file is not what it should be.
     #[error("{path}: {problem}")]
     Content {
@@ -84,6 +89,8 @@
     pub names: Names,
     /// What is told of connections.
     pub links: Links,
+    /// The second front, where it is wanted.
+    pub openai: Option<openai::OpenAi>,
 }
 
 impl Config {
@@ -109,6 +116,12 @@
         let links = file.settings.links();
         let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
         settings.check().map_err(|error| wrong(error.to_string()))?;
+        let arguments: Vec<String> = std::env::args().skip(1).collect();
+        let openai = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+            [] => None,
+            ["--openai", path] => Some(openai::OpenAi::load(path, &names)?),
+            _ => return Err(ConfigError::Usage),
+        };
         Ok(Config {
             name: told("PROXY_NAME", file.name).unwrap_or_else(|_| "router".to_owned()),
             listen: address("PROXY_LISTEN", file.listen)?,
@@ -120,6 +133,7 @@
             settings,
             names,
             links,
+            openai,
         })
     }
 }
@@ -135,5 +149,10 @@
 
 /// A number for a name, the same at every router and after every restart (FNV-1a).
 pub fn hash(text: &str) -> u64 {
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    hash_bytes(text.as_bytes())
+}
+
+/// The same for bytes.
+pub fn hash_bytes(text: &[u8]) -> u64 {
+    text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
 }
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -300,6 +300,7 @@
             log!("request overdue number={}", id.0);
             self.answer(id, Opening::Failed);
             self.handle(Event::Gone(id));
+            self.sweep(id);
         }
     }
 
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -11,7 +11,7 @@
 mod servers;
 mod sse;
 
-use clients::{Shared, platform};
+use clients::{Shared, openai, platform};
 use config::Config;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -49,8 +49,18 @@
     let listener =
         TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
     let shared = Shared::new(core.clone(), config.client_sockets);
+    let listen = listener.local_addr().map_err(io("the listener".to_owned()))?;
     actix_rt::spawn(clients::serve(listener, shared.clone(), platform::front));
-    log!("started name={} listen={} discovery={}", config.name, config.listen, config.discovery);
+    if let Some(told) = config.openai {
+        let listener =
+            TcpListener::bind(told.listen).await.map_err(io(format!("listening on {}", told.listen)))?;
+        let listen = listener.local_addr().map_err(io("the listener".to_owned()))?;
+        let api = openai::Api::new(told, config.seed);
+        let front = move |shared, request| openai::front(api.clone(), shared, request);
+        actix_rt::spawn(clients::serve(listener, shared.clone(), front));
+        log!("openai listen={listen}");
+    }
+    log!("started name={} listen={listen} discovery={}", config.name, config.discovery);
 
     term.recv().await;
     log!("stopping requests={} connections={}", core.busy(), shared.open());
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -16,6 +16,7 @@
 use futures_core::Stream;
 use link::{Lane, Pool};
 use serde::Deserialize;
+use serde::de::IgnoredAny;
 use shedrelay::{Report, Role, Verdict};
 use std::future::poll_fn;
 use std::pin::Pin;
@@ -81,16 +82,18 @@
 struct Tail {
     lines: sse::Lines,
     done: bool,
+    garbage: bool,
     kept: Option<f64>,
     report: Option<Report>,
 }
 
 impl Tail {
     fn feed(&mut self, piece: &[u8]) {
-        let Tail { lines, done, kept, report: told } = self;
+        let Tail { lines, done, garbage, kept, report: told } = self;
         lines.feed(piece, |line| {
             if let Some(data) = sse::field(line, "data") {
                 *done |= data == b"[DONE]";
+                *garbage |= data != b"[DONE]" && serde_json::from_slice::<IgnoredAny>(data).is_err();
                 if data.windows(14).any(|part| part == b"\"cached_tokens") {
                     *kept = cached(data).or(*kept);
                 }
@@ -235,6 +238,9 @@
         match next {
             Some(Ok(bytes)) => {
                 tail.feed(&bytes);
+                if tail.garbage {
+                    break (Verdict::Error, "garbage");
+                }
                 if !started {
                     if !core.started(order.request, order.attempt) {
                         break (Verdict::Cancelled, "not-wanted");
--- /dev/null
+++ b/router/tests/play.rs
@@ -0,0 +1,309 @@
+//! Plays recorded byte exchanges against the started program. `docs/testing.md` says how a recording is written.
+
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
+
+/// How long a step waits for what it expects; only a failing test takes so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Peer {
+    stream: TcpStream,
+    seen: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Self {
+        stream.set_nodelay(true).unwrap();
+        stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
+        Peer { stream, seen: Vec::new() }
+    }
+
+    /// Reads once; false at the end of the connection.
+    fn read(&mut self) -> bool {
+        let mut piece = [0; 4096];
+        match self.stream.read(&mut piece) {
+            Ok(0) => false,
+            Ok(size) => {
+                self.seen.extend_from_slice(&piece[..size]);
+                true
+            }
+            Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
+        }
+    }
+}
+
+/// The length of the text at the start of `seen` that matches; `{*}` stands for any text within a line.
+fn matched(pattern: &str, seen: &str) -> Option<usize> {
+    let Some((fixed, rest)) = pattern.split_once("{*}") else {
+        return seen.starts_with(pattern).then_some(pattern.len());
+    };
+    let line = seen.strip_prefix(fixed)?;
+    let ends = line.find(['\r', '\n']).unwrap_or(line.len());
+    let tries = (0..=ends).filter(|at| line.is_char_boundary(*at));
+    tries.into_iter().find_map(|at| Some(fixed.len() + at + matched(rest, &line[at..])?))
+}
+
+/// A message whose head's lines are in order, if it has a whole head: the program's libraries shuffle them.
+fn sorted(text: &str) -> Option<String> {
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let (first, fields) = head.split_once("\r\n").unwrap_or((head, ""));
+    if !first.contains("HTTP/1.1") {
+        return None;
+    }
+    let mut fields: Vec<&str> = fields.split("\r\n").collect();
+    fields.sort();
+    Some(format!("{first}\r\n{}\r\n\r\n{body}", fields.join("\r\n")))
+}
+
+struct Stage {
+    program: Option<Child>,
+    log: Option<Receiver<String>>,
+    lines: Vec<String>,
+    listeners: HashMap<String, TcpListener>,
+    peers: HashMap<String, Peer>,
+    clients: HashMap<String, String>,
+    folder: PathBuf,
+}
+
+impl Stage {
+    fn new(name: &str) -> Self {
+        let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+        std::fs::create_dir_all(&folder).unwrap();
+        let listen = |name: &str| (name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
+        let listeners = ["d", "r1", "r2", "w1", "w2"].map(listen).into();
+        let (peers, clients) = (HashMap::new(), HashMap::new());
+        Stage { program: None, log: None, lines: Vec::new(), listeners, peers, clients, folder }
+    }
+
+    /// Fills in the addresses of servers.
+    fn filled(&self, text: &str) -> String {
+        self.listeners.iter().fold(text.to_owned(), |text, (name, listener)| {
+            text.replace(&format!("{{{name}}}"), &listener.local_addr().unwrap().to_string())
+        })
+    }
+
+    fn start(&mut self, arguments: &str, body: &str) {
+        let config = include_str!("config.json");
+        let (config, openai) = (self.folder.join("config.json"), {
+            let text = if body.is_empty() { self.filled(config) } else { body.to_owned() };
+            std::fs::write(self.folder.join("config.json"), text).unwrap();
+            self.folder.join("openai.toml")
+        });
+        let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
+        std::fs::write(&openai, models).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
+        command.env_clear().env("PROXY_CONFIG", config).stderr(Stdio::piped()).stdin(Stdio::null());
+        command.args(arguments.split_whitespace().map(|a| a.replace("FILE", openai.to_str().unwrap())));
+        let mut program = command.spawn().unwrap();
+        let (told, log) = channel();
+        let stderr = BufReader::new(program.stderr.take().unwrap());
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
+        (self.program, self.log) = (Some(program), Some(log));
+    }
+
+    /// Waits for a line of the log in which the pattern matches somewhere.
+    fn wait_log(&mut self, pattern: &str) -> String {
+        let found = |line: &&String| {
+            (0..=line.len()).any(|at| line.is_char_boundary(at) && matched(pattern, &line[at..]).is_some())
+        };
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(line) = self.lines.iter().find(found) {
+                return line.clone();
+            }
+            let left = until.saturating_duration_since(Instant::now());
+            match self.log.as_ref().unwrap().recv_timeout(left) {
+                Ok(line) => self.lines.push(line),
+                Err(_) => panic!("no line `{pattern}` in the log:\n{}", self.lines.join("\n")),
+            }
+        }
+    }
+
+    fn peer(&mut self, name: &str) -> &mut Peer {
+        if !self.peers.contains_key(name) {
+            let server = name.split('.').next().unwrap();
+            let peer = if let Some(listener) = self.listeners.get(server) {
+                Peer::new(listener.accept().unwrap().0)
+            } else {
+                let front = if name.starts_with('o') { "openai listen=" } else { "started {*}listen=" };
+                let line = self.wait_log(front);
+                let address = line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().to_owned();
+                self.clients.insert(name.to_owned(), address.clone());
+                Peer::new(TcpStream::connect(address).unwrap())
+            };
+            self.peers.insert(name.to_owned(), peer);
+        }
+        self.peers.get_mut(name).unwrap()
+    }
+
+    fn step(&mut self, verb: &str, rest: &str, body: &str) {
+        match verb {
+            "start" => self.start(rest, body),
+            "log" => drop(self.wait_log(rest)),
+            "once" => {
+                self.wait_log(rest);
+                self.lines.extend(self.log.as_ref().unwrap().try_iter());
+                let times = self.lines.iter().filter(|line| line.contains(rest)).count();
+                assert_eq!(times, 1, "`{rest}` in\n{}", self.lines.join("\n"));
+            }
+            "never" => {
+                self.lines.extend(self.log.as_ref().unwrap().try_iter());
+                assert!(!self.lines.iter().any(|line| line.contains(rest)), "{}", self.lines.join("\n"));
+            }
+            "kept" => {
+                let listener = &self.listeners[rest];
+                listener.set_nonblocking(true).unwrap();
+                assert!(listener.accept().is_err(), "{rest} got a connection");
+                listener.set_nonblocking(false).unwrap();
+            }
+            "close" => drop(self.peers.remove(rest)),
+            "shut" => drop(self.listeners.remove(rest)),
+            "term" => {
+                let id = self.program.as_ref().unwrap().id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+            }
+            "exit" => {
+                let status = self.program.as_mut().unwrap().wait().unwrap();
+                assert_eq!(status.code().map(|code| code.to_string()).as_deref(), Some(rest));
+                self.program = None;
+            }
+            "send" => {
+                let size = body.split_once("\r\n\r\n").map_or(0, |(_, body)| body.len());
+                let body = body.replace("{size}", &size.to_string());
+                self.peer(rest).stream.write_all(body.as_bytes()).unwrap();
+            }
+            "take" => {
+                // A whole request, whatever it says.
+                let until = Instant::now() + PATIENCE;
+                let peer = self.peer(rest);
+                loop {
+                    let seen = String::from_utf8(peer.seen.clone()).unwrap();
+                    let size =
+                        seen.split_once("content-length: ").and_then(|(_, size)| size.split_once("\r\n"));
+                    let body = seen.find("\r\n\r\n").map(|at| at + 4);
+                    if let (Some((size, _)), Some(body)) = (size, body) {
+                        let whole = body + size.parse::<usize>().unwrap();
+                        if seen.len() >= whole {
+                            peer.seen.drain(..whole);
+                            return;
+                        }
+                    }
+                    assert!(peer.read() && Instant::now() < until, "{rest}: wanted a request, got\n{seen}");
+                }
+            }
+            "half" => self.peer(rest).stream.shutdown(Shutdown::Write).unwrap(),
+            "end" => {
+                let until = Instant::now() + PATIENCE;
+                let peer = self.peer(rest);
+                while peer.read() {
+                    assert!(Instant::now() < until, "{rest}: the connection stays open");
+                }
+                let left = String::from_utf8_lossy(&peer.seen);
+                assert!(left.is_empty(), "{rest}: more came: {left}");
+                self.peers.remove(rest);
+            }
+            "get" => {
+                let until = Instant::now() + PATIENCE;
+                let wanted = sorted(body).unwrap_or_else(|| body.to_owned());
+                let peer = self.peer(rest);
+                loop {
+                    let seen = String::from_utf8(peer.seen.clone()).unwrap();
+                    let head = if sorted(body).is_some() { sorted(&seen) } else { Some(seen.clone()) };
+                    if let Some(size) = head.and_then(|seen| matched(&wanted, &seen)) {
+                        peer.seen.drain(..size);
+                        return;
+                    }
+                    let open = peer.read();
+                    assert!(open && Instant::now() < until, "{rest}: wanted\n{wanted}\ngot\n{seen}");
+                }
+            }
+            other => panic!("no such step: {other}"),
+        }
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        if let Some(mut program) = self.program.take() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+    }
+}
+
+/// The bytes that a line of a recording stands for.
+fn bytes(line: &str) -> String {
+    let escaped = |text: &str| text.replace("\\n", "\n");
+    match line.split_at_checked(1) {
+        Some(("|", text)) => format!("{}\r\n", text.strip_prefix(' ').unwrap_or(text)),
+        Some((":", text)) => escaped(text.strip_prefix(' ').unwrap_or(text)),
+        Some(("c", text)) => {
+            let text = escaped(text.strip_prefix(' ').unwrap_or(text));
+            format!("{:X}\r\n{text}\r\n", text.len())
+        }
+        Some(("C", text)) => format!("{{*}}\r\n{}\r\n", escaped(text.strip_prefix(' ').unwrap_or(text))),
+        Some(("z", _)) => "0\r\n\r\n".to_owned(),
+        _ => panic!("no such line: {line}"),
+    }
+}
+
+/// Plays a recording, with these words in place of those in braces; gives the program's final outcomes.
+fn play_file(path: &Path, name: &str, words: &[(&str, &str)]) -> Vec<String> {
+    let text = std::fs::read_to_string(path).unwrap();
+    let text = words.iter().fold(text, |text, (word, value)| text.replace(&format!("{{{word}}}"), value));
+    let common = include_str!("exchanges/common.inc").split("\n== ").skip(1);
+    let named: HashMap<&str, &str> = common.filter_map(|part| part.split_once('\n')).collect();
+    let mut stage = Stage::new(name);
+    let mut steps: Vec<(String, String, String)> = Vec::new();
+    let mut read = |line: &str| {
+        if line.is_empty() || line.starts_with('#') {
+            return;
+        }
+        let mark = line.split(' ').next().unwrap();
+        if ["|", ":", "c", "C", "z"].contains(&mark) {
+            steps.last_mut().unwrap().2.push_str(&bytes(&stage.filled(line)));
+        } else {
+            let (verb, rest) = line.split_once(' ').unwrap_or((line, ""));
+            steps.push((verb.to_owned(), rest.to_owned(), String::new()));
+        }
+    };
+    for line in text.lines() {
+        // `use NAME a=b ...`: lines from the common file, with these words in place of {a}.
+        let Some(call) = line.strip_prefix("use ") else {
+            read(line);
+            continue;
+        };
+        let mut told = call.split(' ');
+        let name = told.next().unwrap();
+        let part = named.get(name).unwrap_or_else(|| panic!("no `{name}`")).to_string();
+        let told = told.filter_map(|word| word.split_once('='));
+        told.fold(part, |part, (word, value)| part.replace(&format!("{{{word}}}"), value))
+            .lines()
+            .for_each(&mut read);
+    }
+    for (verb, rest, body) in steps {
+        stage.step(&verb, &rest, &body);
+    }
+    let outcomes = stage.lines.iter().filter(|line| line.contains(" outcome="));
+    let tail = |line: &String| line[line.find("class=").unwrap()..line.find(" ms=").unwrap()].to_owned();
+    outcomes.map(tail).collect()
+}
+
+#[rstest]
+fn play(#[files("tests/exchanges/*.txt")] path: PathBuf) {
+    play_file(&path, path.file_stem().unwrap().to_str().unwrap(), &[]);
+}
+
+#[rstest]
+fn fronts_agree(#[files("tests/exchanges/both/*.txt")] path: PathBuf) {
+    let platform = play_file(&path, "platform", &[("f", ""), ("c", "a")]);
+    let openai = play_file(&path, "openai", &[("f", "o"), ("c", "o")]);
+    assert!(!platform.is_empty());
+    assert_eq!(platform, openai);
+}
