Let a release wait while the request's next attempt is out; add etcd as a list source

Cause: a release lets go of all that is held for the request, at any server. The release of the first read (servers.rs, release) was repeated at other servers while its reader was silent, and by then the second read's state waited. Ruled out: a writer that lost the state (it was asked 30 to 280 ms after the read, and only after such a release).

Now the core keeps what is owed (core.rs, settle and owes): a release goes out while no attempt of the request is out, stops if one has gone out meanwhile, and the first event of an answer ends the debt. Checked: reread.txt fails without the change (the silent reader gets a connection for the release) and passes with it.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,5 +1,6 @@
 //! What the platform tells the router: `$PROXY_CONFIG`, and the variables that stand beside it.
 
+pub mod etcd;
 pub mod openai;
 
 use crate::list;
@@ -30,7 +31,7 @@
         error: std::io::Error,
     },
     /// An argument that is not known.
-    #[error("usage: fawnstream [--openai FILE]")]
+    #[error("usage: fawnstream [--openai FILE] [--etcd FILE]")]
     Usage,
     /// A file is not what it should be.
     #[error("{path}: {problem}")]
@@ -91,6 +92,8 @@
     pub links: Links,
     /// The second front, where it is wanted.
     pub openai: Option<openai::OpenAi>,
+    /// The list's source, where it is not discovery.
+    pub etcd: Option<etcd::Etcd>,
 }
 
 impl Config {
@@ -116,12 +119,16 @@
         let links = file.settings.links();
         let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
         settings.check().map_err(|error| wrong(error.to_string()))?;
-        let arguments: Vec<String> = std::env::args().skip(1).collect();
-        let openai = match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
-            [] => None,
-            ["--openai", path] => Some(openai::OpenAi::load(path, &names)?),
-            _ => return Err(ConfigError::Usage),
-        };
+        let (mut openai, mut etcd) = (None, None);
+        let mut arguments = std::env::args().skip(1);
+        while let Some(argument) = arguments.next() {
+            let path = arguments.next().ok_or(ConfigError::Usage)?;
+            match argument.as_str() {
+                "--openai" => openai = Some(openai::OpenAi::load(&path, &names)?),
+                "--etcd" => etcd = Some(etcd::Etcd::load(&path)?),
+                _ => return Err(ConfigError::Usage),
+            }
+        }
         Ok(Config {
             name: told("PROXY_NAME", file.name).unwrap_or_else(|_| "router".to_owned()),
             listen: address("PROXY_LISTEN", file.listen)?,
@@ -134,10 +141,19 @@
             names,
             links,
             openai,
+            etcd,
         })
     }
 }
 
+/// A file of ours, as TOML.
+fn toml_file<T: serde::de::DeserializeOwned>(path: &str) -> Result<T, ConfigError> {
+    let text =
+        std::fs::read_to_string(path).map_err(|error| ConfigError::File { path: path.to_owned(), error })?;
+    toml::from_str(&text)
+        .map_err(|error| ConfigError::Content { path: path.to_owned(), problem: error.message().to_owned() })
+}
+
 /// A seed is 16 hex digits; anything else still gives some number.
 fn seed(value: &serde_json::Value) -> u64 {
     match value {
--- a/router/src/config/openai.rs
+++ b/router/src/config/openai.rs
@@ -61,10 +61,8 @@
 impl OpenAi {
     /// Reads the file; the names in it are those of the settings.
     pub fn load(path: &str, names: &Names) -> Result<Self, ConfigError> {
-        let text = std::fs::read_to_string(path)
-            .map_err(|error| ConfigError::File { path: path.to_owned(), error })?;
         let wrong = |problem: String| ConfigError::Content { path: path.to_owned(), problem };
-        let file: File = toml::from_str(&text).map_err(|e| wrong(e.message().to_owned()))?;
+        let file: File = super::toml_file(path)?;
         let tenant = |name: &str| {
             let place = names.tenants.iter().position(|known| known == name);
             place.map(TenantId).ok_or_else(|| wrong(format!("tenant `{name}` is not in the settings")))
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -67,8 +67,9 @@
 pub trait Servers {
     /// Starts an attempt; [`Core::started`] and [`Core::ended`] hear of it, never before this returns.
     fn send(&self, order: Order);
-    /// Lets go of all that is held for a request, at this server if it can be reached, else by others.
-    fn release(&self, label: &str, at: Vec<Rc<Server>>);
+    /// Lets go of all that is held for a request, at this server if it can be reached, else by others, as long
+    /// as [`Core::owes`] says so.
+    fn release(&self, request: RequestId, label: &str, at: Rc<Server>);
     /// A server takes nothing new, or moved: its idle connections can go.
     fn retire(&self, server: &Server);
 }
@@ -80,6 +81,8 @@
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
     /// The last reader that may hold a state.
     reader: Option<Rc<Server>>,
+    /// Where something may be held that has to be let go of once no attempt is out.
+    owed: Option<Rc<Server>>,
     started: bool,
     answered: bool,
     left: bool,
@@ -258,6 +261,7 @@
             attempts: 0,
             current: None,
             reader: None,
+            owed: None,
             started: false,
             answered: false,
             left: false,
@@ -290,7 +294,7 @@
             _ => return,
         }
         self.handle(Event::Gone(id));
-        self.sweep(id);
+        self.settle(id);
     }
 
     /// The module never leaves a request so long; if it does, the client still gets its answer.
@@ -300,7 +304,7 @@
             log!("request overdue number={}", id.0);
             self.answer(id, Opening::Failed);
             self.handle(Event::Gone(id));
-            self.sweep(id);
+            self.settle(id);
         }
     }
 
@@ -314,7 +318,8 @@
                 return false;
             }
             (open.started, open.answered) = (true, true);
-            open.reader = None;
+            // With the first event all that is held goes by itself.
+            (open.reader, open.owed) = (None, None);
             open.exchange.open(Opening::Stream);
         }
         self.handle(Event::First { request, attempt });
@@ -324,7 +329,6 @@
     /// An attempt ended.
     pub fn ended(&self, request: RequestId, attempt: Attempt, ended: Ended) {
         let mut verdict = ended.verdict;
-        let mut orphan = None;
         let settled = {
             let mut all = self.open.borrow_mut();
             let Some(open) = all.get_mut(&request) else { return };
@@ -334,7 +338,7 @@
                 open.reader = Some(server.clone());
             } else if reads && ended.written && verdict != Verdict::Full {
                 // The read may have ended well at the very moment its connection ended.
-                orphan = Some((open.exchange.call.label.clone(), server.clone()));
+                open.owed = Some(server.clone());
             }
             if !ended.written && verdict == Verdict::Cancelled {
                 // Never sent whole: it proves that it never ran.
@@ -365,12 +369,9 @@
             }
             open.answered
         };
-        if let (Some((label, server)), Some(servers)) = (orphan, self.servers.borrow().as_ref()) {
-            servers.release(&label, vec![server]);
-        }
         let Ended { kept, report, .. } = ended;
         self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept, report }));
-        self.sweep(request);
+        self.settle(request);
     }
 
     /// The final answer, if the client has none yet.
@@ -395,6 +396,32 @@
         );
     }
 
+    /// While no attempt of a request is out, what is held for it is let go of. Guards against a release that
+    /// overtakes the next attempt and takes its state away.
+    fn settle(&self, id: RequestId) {
+        let due =
+            self.open.borrow_mut().get_mut(&id).filter(|open| open.current.is_none()).and_then(|open| {
+                let server = open.owed.take()?;
+                Some((open.exchange.call.label.clone(), server))
+            });
+        if let (Some((label, server)), Some(servers)) = (due, self.servers.borrow().as_ref()) {
+            servers.release(id, &label, server);
+        }
+        self.sweep(id);
+    }
+
+    /// Whether a release must still be made. If an attempt has gone out meanwhile it has to wait for its end.
+    pub fn owes(&self, id: RequestId, at: &Rc<Server>) -> bool {
+        match self.open.borrow_mut().get_mut(&id) {
+            Some(open) if open.current.is_some() && !open.started => {
+                open.owed = Some(at.clone());
+                false
+            }
+            Some(open) => !open.started,
+            None => true,
+        }
+    }
+
     /// Forgets a request that has its answer and no attempt out.
     fn sweep(&self, id: RequestId) {
         let mut all = self.open.borrow_mut();
@@ -410,9 +437,13 @@
     fn handle(&self, event: Event) {
         let mut actions = Vec::new();
         self.router.borrow_mut().handle(self.now(), event, &mut actions);
-        for action in actions {
-            self.perform(action);
-        }
+        let released = |action: &Action| match action {
+            Action::Release(request) => Some(*request),
+            _ => None,
+        };
+        let released: Vec<RequestId> = actions.iter().filter_map(released).collect();
+        actions.into_iter().for_each(|action| self.perform(action));
+        released.into_iter().for_each(|request| self.settle(request));
     }
 
     fn perform(&self, action: Action) {
@@ -427,13 +458,17 @@
             }
             Action::Refuse { request, backoff } => {
                 self.answer(request, Opening::Refused(backoff.map(|b| Duration::from_nanos(b.0))));
-                self.later_sweep(request);
+                self.later(request);
             }
             Action::Fail(request) => {
                 self.answer(request, Opening::Failed);
-                self.later_sweep(request);
+                self.later(request);
+            }
+            Action::Release(request) => {
+                if let Some(open) = self.open.borrow_mut().get_mut(&request) {
+                    open.owed = open.reader.take().or(open.owed.take());
+                }
             }
-            Action::Release(request) => self.release(request),
             Action::Timer { timer, after } => {
                 let me = self.me.clone();
                 actix_rt::spawn(async move {
@@ -449,27 +484,15 @@
     }
 
     /// A release may follow the final answer in the same batch: the request is kept until then.
-    fn later_sweep(&self, id: RequestId) {
+    fn later(&self, id: RequestId) {
         let me = self.me.clone();
         actix_rt::spawn(async move {
             if let Some(core) = me.upgrade() {
-                core.sweep(id);
+                core.settle(id);
             }
         });
     }
 
-    fn release(&self, id: RequestId) {
-        let at = match self.open.borrow_mut().get_mut(&id) {
-            Some(open) => (open.exchange.call.label.clone(), open.reader.take()),
-            None => return,
-        };
-        if let (label, Some(reader)) = at
-            && let Some(servers) = self.servers.borrow().as_ref()
-        {
-            servers.release(&label, vec![reader]);
-        }
-    }
-
     fn send(&self, id: RequestId, to: ServerId, timeout: Option<Span>) {
         let me = self.me.clone();
         let mut all = self.open.borrow_mut();
@@ -485,7 +508,7 @@
                 let outcome =
                     Outcome { request: id, attempt, verdict, settled: false, kept: None, report: None };
                 core.handle(Event::Outcome(outcome));
-                core.sweep(id);
+                core.settle(id);
             });
             return;
         };
--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -1,13 +1,22 @@
 //! The list of servers: where its news comes from, and what a piece of news is.
 
 pub mod discovery;
+pub mod etcd;
 
+use awc::ClientResponse;
+use futures_core::Stream;
 use serde::Deserialize;
 use shedrelay::ServerState;
+use std::future::poll_fn;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Duration;
+
+/// A line longer than this is no list.
+const LONGEST_LINE: usize = 4 * 1024 * 1024;
 
 /// One server as a source of the list knows it.
-#[derive(Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// Its name, the same at every router.
     pub id: String,
@@ -65,27 +74,67 @@
 }
 
 impl Wire {
-    /// The news in it; entries that make no sense are dropped and logged.
+    /// The news in it.
     pub fn update(self) -> Update {
-        let entry = |value: serde_json::Value| match serde_json::from_value::<WireEntry>(value) {
-            Ok(entry) => Some(Entry {
-                id: entry.id,
-                address: entry.host_port,
-                zone: entry.locality,
-                kind: entry.flavor,
-                cell: entry.cell,
-                state: match entry.phase {
-                    Phase::Active => ServerState::Active,
-                    Phase::Leaving => ServerState::Leaving,
-                    Phase::Left => ServerState::Left,
-                },
-                up_since_ms: entry.up_since_ms,
-            }),
-            Err(error) => {
-                crate::log!("list dropped reason=bad-entry error=\"{error}\"");
-                None
-            }
-        };
         Update { complete: self.complete, entries: self.members.into_iter().filter_map(entry).collect() }
     }
 }
+
+/// An entry; one that makes no sense is dropped and logged.
+fn entry(value: serde_json::Value) -> Option<Entry> {
+    let entry = serde_json::from_value::<WireEntry>(value)
+        .map_err(|error| crate::log!("list dropped reason=bad-entry error=\"{error}\""))
+        .ok()?;
+    Some(Entry {
+        id: entry.id,
+        address: entry.host_port,
+        zone: entry.locality,
+        kind: entry.flavor,
+        cell: entry.cell,
+        state: match entry.phase {
+            Phase::Active => ServerState::Active,
+            Phase::Leaving => ServerState::Leaving,
+            Phase::Left => ServerState::Left,
+        },
+        up_since_ms: entry.up_since_ms,
+    })
+}
+
+/// A client for a watch: one connection, no time-out of its own, nothing followed.
+fn watcher(connect: Duration) -> awc::Client {
+    let connector = awc::Connector::new().timeout(connect).limit(1);
+    let client = awc::Client::builder().connector(connector);
+    client.disable_timeout().disable_redirects().no_default_headers().finish()
+}
+
+/// Hands on the lines of a watch until it ends or one of them ends it; gives the reason.
+async fn read_lines(
+    answer: &mut ClientResponse,
+    silence: Duration,
+    mut hear: impl FnMut(&[u8]) -> Result<(), &'static str>,
+) -> &'static str {
+    let mut line = Vec::new();
+    loop {
+        let piece = poll_fn(|cx| Pin::new(&mut *answer).poll_next(cx));
+        let piece = match actix_rt::time::timeout(silence, piece).await {
+            Ok(Some(Ok(piece))) => piece,
+            Ok(Some(Err(_))) => return "broken",
+            Ok(None) => return "ended",
+            Err(_) => return "silent",
+        };
+        for part in piece.split_inclusive(|byte| *byte == b'\n') {
+            line.extend_from_slice(part);
+            if line.len() > LONGEST_LINE {
+                return "line-too-long";
+            }
+            if part.ends_with(b"\n") {
+                if !line.trim_ascii().is_empty()
+                    && let Err(reason) = hear(&line)
+                {
+                    return reason;
+                }
+                line.clear();
+            }
+        }
+    }
+}
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -1,12 +1,8 @@
 //! The platform's discovery: one watch that stays open, opened again with a growing wait when it ends.
 
-use super::{Update, Wire};
+use super::{Update, Wire, read_lines, watcher};
 use crate::log;
-use bytes::Bytes;
-use futures_core::Stream;
-use std::future::poll_fn;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::time::Duration;
 
 /// First wait before a watch is opened again; doubles up to the longest while nothing comes.
@@ -17,8 +13,6 @@
 const SILENCE: Duration = Duration::from_secs(9);
 /// The answer's head must come in this time; a silent discovery is asked again.
 const HEAD: Duration = Duration::from_secs(5);
-/// A line longer than this is no list.
-const LONGEST_LINE: usize = 4 * 1024 * 1024;
 
 /// Follows the list for ever. `from` is the version of the list already known.
 pub async fn follow(address: SocketAddr, mut from: u64, mut hear: impl FnMut(Update)) {
@@ -33,13 +27,7 @@
 }
 
 async fn watch(address: SocketAddr, from: &mut u64, hear: &mut impl FnMut(Update)) -> &'static str {
-    let connector = awc::Connector::new().timeout(HEAD).limit(1);
-    let client = awc::Client::builder()
-        .connector(connector)
-        .disable_timeout()
-        .disable_redirects()
-        .no_default_headers()
-        .finish();
+    let client = watcher(HEAD);
     let uri = format!("http://{address}/v1/servers?watch=1&from={from}");
     let asked = actix_rt::time::timeout(HEAD, client.get(uri).send()).await;
     let mut answer = match asked {
@@ -48,33 +36,15 @@
         Ok(Err(_)) => return "no-connection",
         Err(_) => return "silent",
     };
-    let mut line = Vec::new();
-    loop {
-        let piece = poll_fn(|cx| Pin::new(&mut answer).poll_next(cx));
-        let piece: Bytes = match actix_rt::time::timeout(SILENCE, piece).await {
-            Ok(Some(Ok(piece))) => piece,
-            Ok(Some(Err(_))) => return "broken",
-            Ok(None) => return "ended",
-            Err(_) => return "silent",
-        };
-        for part in piece.split_inclusive(|byte| *byte == b'\n') {
-            line.extend_from_slice(part);
-            if line.len() > LONGEST_LINE {
-                return "line-too-long";
-            }
-            if part.ends_with(b"\n") {
-                take(&line, from, hear);
-                line.clear();
-            }
-        }
-    }
+    read_lines(&mut answer, SILENCE, |line| {
+        take(line, from, hear);
+        Ok(())
+    })
+    .await
 }
 
 /// One line of the watch. Garbage is dropped: the list stays as it was.
 fn take(line: &[u8], from: &mut u64, hear: &mut impl FnMut(Update)) {
-    if line.trim_ascii().is_empty() {
-        return;
-    }
     match serde_json::from_slice::<Wire>(line) {
         Ok(wire) => {
             *from = wire.revision;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -45,7 +45,11 @@
         core.listed(known.update());
     }
     let listed = core.clone();
-    actix_rt::spawn(list::discovery::follow(config.discovery, from, move |update| listed.listed(update)));
+    let hear = move |update| listed.listed(update);
+    match config.etcd {
+        Some(told) => drop(actix_rt::spawn(list::etcd::follow(told, hear))),
+        None => drop(actix_rt::spawn(list::discovery::follow(config.discovery, from, hear))),
+    }
     let listener =
         TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
     let shared = Shared::new(core.clone(), config.client_sockets);
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -17,7 +17,7 @@
 use link::{Lane, Pool};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use shedrelay::{Report, Role, Verdict};
+use shedrelay::{Report, RequestId, Role, Verdict};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -57,9 +57,9 @@
         });
     }
 
-    fn release(&self, label: &str, at: Vec<Rc<Server>>) {
+    fn release(&self, request: RequestId, label: &str, at: Rc<Server>) {
         let (core, pool, label) = (self.core.clone(), self.pool.clone(), label.to_owned());
-        actix_rt::spawn(async move { release(&core, &pool, &label, at).await });
+        actix_rt::spawn(async move { release(&core, &pool, request, &label, at).await });
     }
 
     fn retire(&self, server: &Server) {
@@ -271,12 +271,14 @@
 
 /// Lets go of all that is held for a request: at the server that may hold it, and while that can't be heard at
 /// others, since every server passes a release on. Only an answer counts: a dead machine takes bytes too.
-async fn release(core: &Core, pool: &Rc<Pool>, label: &str, at: Vec<Rc<Server>>) {
+async fn release(core: &Core, pool: &Rc<Pool>, request: RequestId, label: &str, at: Rc<Server>) {
     let mut others = core.others();
-    let first = at.first().map_or(0, |server| server.address.port());
-    others.sort_by_key(|server| crate::config::hash(&server.label) ^ u64::from(first));
-    let others = others.iter().filter(|other| !at.iter().any(|server| Rc::ptr_eq(server, other)));
-    for server in at.iter().chain(others).take(RELEASE_TRIES) {
+    others.sort_by_key(|server| crate::config::hash(&server.label) ^ u64::from(at.address.port()));
+    let others = others.iter().filter(|other| !Rc::ptr_eq(&at, other));
+    for server in std::iter::once(&at).chain(others).take(RELEASE_TRIES) {
+        if !core.owes(request, &at) {
+            return;
+        }
         let Some(lane) = pool.take(server) else { continue };
         let uri = format!("http://{}/bootstrap/rooms/{label}", server.address);
         lane.unwatched();
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -1,5 +1,6 @@
 //! Plays recorded byte exchanges against the started program. `docs/testing.md` says how a recording is written.
 
+use base64::prelude::{BASE64_STANDARD, Engine as _};
 use rstest::rstest;
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
@@ -97,9 +98,15 @@
         });
         let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
         std::fs::write(&openai, models).unwrap();
+        let etcd = self.folder.join("etcd.toml");
+        std::fs::write(&etcd, self.filled("endpoint = \"{d}\"\nprefix = \"/s/\"\n")).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
         command.env_clear().env("PROXY_CONFIG", config).stderr(Stdio::piped()).stdin(Stdio::null());
-        command.args(arguments.split_whitespace().map(|a| a.replace("FILE", openai.to_str().unwrap())));
+        command.args(
+            arguments
+                .split_whitespace()
+                .map(|a| a.replace("FILE", openai.to_str().unwrap()).replace("ETCD", etcd.to_str().unwrap())),
+        );
         let mut program = command.spawn().unwrap();
         let (told, log) = channel();
         let stderr = BufReader::new(program.stderr.take().unwrap());
@@ -230,6 +237,12 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
+        if std::thread::panicking()
+            && let Some(log) = &self.log
+        {
+            self.lines.extend(log.try_iter());
+            println!("the log:\n{}", self.lines.join("\n"));
+        }
         if let Some(mut program) = self.program.take() {
             let _ = program.kill();
             let _ = program.wait();
@@ -239,7 +252,16 @@
 
 /// The bytes that a line of a recording stands for.
 fn bytes(line: &str) -> String {
-    let escaped = |text: &str| text.replace("\\n", "\n");
+    let escaped = |text: &str| {
+        // `<<text>>` is text in base64.
+        let mut text = text.replace("\\n", "\n");
+        while let Some((before, (plain, after))) =
+            text.split_once("<<").and_then(|(b, r)| Some((b, r.split_once(">>")?)))
+        {
+            text = format!("{before}{}{after}", BASE64_STANDARD.encode(plain));
+        }
+        text
+    };
     match line.split_at_checked(1) {
         Some(("|", text)) => format!("{}\r\n", text.strip_prefix(' ').unwrap_or(text)),
         Some((":", text)) => escaped(text.strip_prefix(' ').unwrap_or(text)),
