Guard against slow heads and late discovery; code each connection's end; probe awc's traps

Seen in the logs: connections ended by a time-out or a failed release were logged as cancelled. Cause: the request's future, and with it the connection, was dropped by select! before the reason was noted (servers.rs, run and release). It is pinned outside now. Read in the sources: the server library times the first head on a connection and no later one, so a client could hold a descriptor for ever with half a head (clients.rs, LOOK). Discovery's news counts as told after 6 s, and the watch was only renewed after 9 s of silence: now 4.2 s, and 1.5 s for its head (list/discovery.rs). A send held back by the drain rule proves that it never ran, so it goes on to another server where it was refused before. A request that is overdue is failed even with an attempt out. A whole answer over the second front is gathered up to 4 MiB.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -14,7 +14,7 @@
 use actix_http::{HttpMessage as _, HttpService, Method, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory, fn_service};
 use bytes::Bytes;
-use conn::{Conn, Wire};
+use conn::{Busy, Conn, Wire};
 use futures_core::Stream;
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -31,10 +31,12 @@
 const LARGEST_BODY: usize = 256 * 1024;
 /// A body comes whole in this time, or its client is told so.
 const BODY_TIME: Duration = Duration::from_secs(10);
-/// The first head on a connection comes in this time.
+/// A head comes in this time, on a new connection or from its first byte on.
 const HEAD_TIME: Duration = Duration::from_secs(30);
 /// A connection without a request is kept for this long.
 const KEEP: Duration = Duration::from_secs(90);
+/// How often a connection's head is looked at: the server library has a time-out for the first head only.
+const LOOK: Duration = Duration::from_secs(5);
 /// What a client sent and nobody read is taken for this long before its connection closes.
 const LINGER: Duration = Duration::from_millis(500);
 
@@ -162,9 +164,17 @@
                 let shared = shared.clone();
                 shared.open.set(shared.open.get() + 1);
                 actix_rt::spawn(async move {
-                    let end = served.await;
+                    let mut served = std::pin::pin!(served);
+                    let code = loop {
+                        match actix_rt::time::timeout(LOOK, &mut served).await {
+                            Ok(end) => break code(&end, &conn, shared.stopping.get()),
+                            Err(_) if conn.head_time().is_some_and(|time| time > HEAD_TIME) => {
+                                break "slow-head";
+                            }
+                            Err(_) => {}
+                        }
+                    };
                     shared.open.set(shared.open.get() - 1);
-                    let code = code(&end, &conn, shared.stopping.get());
                     log!(
                         "connection peer=client address={peer} code={code} requests={}",
                         conn.requests.get()
@@ -217,11 +227,9 @@
     actix_rt::time::timeout(BODY_TIME, all).await.unwrap_or(Err(Bad::Incomplete))
 }
 
-/// Notes a request on its connection, and what became of it if the core never heard of it.
-pub fn note(request: &Request) {
-    if let Some(conn) = request.conn_data::<Rc<Conn>>() {
-        conn.requests.set(conn.requests.get() + 1);
-    }
+/// Notes a request on its connection, until its answer is out.
+pub fn note(request: &Request) -> Option<Busy> {
+    request.conn_data::<Rc<Conn>>().map(Conn::request)
 }
 
 /// Seconds as `Retry-After` tells them.
@@ -236,6 +244,7 @@
     render: R,
     broken: bool,
     flushed: bool,
+    _busy: Option<Busy>,
 }
 
 /// Turns pieces of a server's stream into what a front sends.
@@ -251,8 +260,8 @@
 
 impl<R: Render> Answer<R> {
     /// The body of an answer whose opening was a stream.
-    pub fn new(end: ClientEnd, render: R) -> Self {
-        Answer { end, render, broken: false, flushed: false }
+    pub fn new(end: ClientEnd, render: R, busy: Option<Busy>) -> Self {
+        Answer { end, render, broken: false, flushed: false, _busy: busy }
     }
 }
 
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -5,6 +5,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -15,6 +16,32 @@
     pub requests: Cell<u64>,
     /// The client ended it.
     pub ended: Cell<bool>,
+    busy: Cell<u32>,
+    begun: Cell<Option<Instant>>,
+}
+
+impl Conn {
+    /// A request's head came; until the guard goes its answer is under way.
+    pub fn request(self: &Rc<Self>) -> Busy {
+        self.requests.set(self.requests.get() + 1);
+        self.busy.set(self.busy.get() + 1);
+        self.begun.set(None);
+        Busy(self.clone())
+    }
+
+    /// For how long a head has been coming.
+    pub fn head_time(&self) -> Option<Duration> {
+        self.begun.get().map(|begun| begun.elapsed())
+    }
+}
+
+/// An answer under way.
+pub struct Busy(Rc<Conn>);
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(self.0.busy.get() - 1);
+    }
 }
 
 /// A connection that notes who ended it.
@@ -38,6 +65,9 @@
         let read = Pin::new(&mut this.stream).poll_read(cx, buf);
         if matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before {
             this.conn.ended.set(true);
+        } else if buf.filled().len() > before && this.conn.busy.get() == 0 && this.conn.begun.get().is_none()
+        {
+            this.conn.begun.set(Some(Instant::now()));
         }
         read
     }
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -4,7 +4,7 @@
 mod api;
 mod render;
 
-use super::{Answer, Bad, Shared, body, health, note};
+use super::{Answer, Bad, Busy, Shared, body, health, note};
 use crate::config::{self, openai::OpenAi};
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::log;
@@ -22,6 +22,8 @@
 const CHAT: &str = "/v1/chat/completions";
 const MODELS: &str = "/v1/models";
 const HEALTH: &str = "/healthz";
+/// A whole answer is gathered up to this size; one that grows past it has failed.
+const LARGEST_ANSWER: usize = 4 * 1024 * 1024;
 
 /// The front's settings and its source of ids.
 pub struct Api {
@@ -46,7 +48,7 @@
 /// Answers one request.
 pub async fn front(api: Rc<Api>, shared: Rc<Shared>, mut request: Request) -> Response<BoxBody> {
     let arrived = Instant::now();
-    note(&request);
+    let busy = note(&request);
     let path = request.path().to_owned();
     if path == HEALTH {
         return health(&shared, &request);
@@ -71,10 +73,10 @@
         let id = api.id();
         let call = chat.call(&api.told, tenant, id.clone(), arrived);
         let end = shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)?;
-        Ok(answer(end, &chat, &id).await)
+        Ok(answer(end, &chat, &id, busy).await)
     };
     answered.await.unwrap_or_else(|refusal: Refusal| {
-        log!("request refused code={} reason=\"{}\"", refusal.status.as_u16(), refusal.message);
+        log!("request refused code={} reason={:?}", refusal.status.as_u16(), refusal.message);
         refusal_response(&refusal, &mut Response::build(refusal.status))
     })
 }
@@ -90,7 +92,7 @@
 }
 
 /// Renders the outcome that the core decided on.
-async fn answer(mut end: ClientEnd, chat: &Chat, id: &str) -> Response<BoxBody> {
+async fn answer(mut end: ClientEnd, chat: &Chat, id: &str, busy: Option<Busy>) -> Response<BoxBody> {
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
     let name = format!("chatcmpl-{id}");
     let failed = || {
@@ -102,13 +104,19 @@
         Opening::Stream if chat.stream => Response::build(StatusCode::OK)
             .insert_header((CONTENT_TYPE, "text/event-stream"))
             .insert_header((CACHE_CONTROL, "no-cache"))
-            .body(Answer::new(end, Chunks::new(name, unix, chat)))
+            .body(Answer::new(end, Chunks::new(name, unix, chat), busy))
             .map_into_boxed_body(),
         Opening::Stream => {
-            let mut whole = Whole::default();
+            let (mut whole, mut size) = (Whole::default(), 0);
             loop {
                 match poll_fn(|cx| end.poll_piece(cx)).await {
-                    Some(Ok(piece)) => whole.piece(&piece),
+                    Some(Ok(piece)) => {
+                        size += piece.len();
+                        if size > LARGEST_ANSWER {
+                            return failed();
+                        }
+                        whole.piece(&piece);
+                    }
                     Some(Err(_)) => return failed(),
                     None => break json_response(StatusCode::OK, &whole.object(&name, unix, &chat.model)),
                 }
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -33,7 +33,7 @@
 /// Answers one request.
 pub async fn front(shared: Rc<Shared>, mut request: Request) -> Response<BoxBody> {
     let arrived = Instant::now();
-    note(&request);
+    let busy = note(&request);
     if request.path() == HEALTH {
         return health(&shared, &request);
     }
@@ -61,7 +61,7 @@
         Opening::Stream => Response::build(StatusCode::OK)
             .insert_header((CONTENT_TYPE, "text/event-stream"))
             .insert_header((CACHE_CONTROL, "no-cache"))
-            .body(Answer::new(end, Unchanged))
+            .body(Answer::new(end, Unchanged, busy))
             .map_into_boxed_body(),
         Opening::Refused(after) => {
             let mut response = Response::new(StatusCode::SERVICE_UNAVAILABLE);
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -210,7 +210,7 @@
 
     fn member(&self, entry: &Entry) -> Option<Member> {
         let Some(kind) = self.names.kinds.iter().position(|kind| *kind == entry.kind) else {
-            log!("list dropped server={} reason=unknown-kind", entry.id);
+            log!("list dropped server={:?} reason=unknown-kind", entry.id);
             return None;
         };
         let zone = self.names.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(usize::MAX);
@@ -299,7 +299,7 @@
 
     /// The module never leaves a request so long; if it does, the client still gets its answer.
     fn overdue(&self, id: RequestId) {
-        let late = self.open.borrow().get(&id).is_some_and(|open| !open.answered && open.current.is_none());
+        let late = self.open.borrow().get(&id).is_some_and(|open| !open.answered);
         if late {
             log!("request overdue number={}", id.0);
             self.answer(id, Opening::Failed);
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -9,10 +9,10 @@
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
 /// An empty line comes every 2 s while discovery is well. After so long without one the watch is opened anew,
-/// which costs nothing: a connection that died silently would never say so.
-const SILENCE: Duration = Duration::from_secs(9);
+/// which costs nothing: a connection that died silently would never say so, and news counts as told after 6 s.
+const SILENCE: Duration = Duration::from_millis(4_200);
 /// The answer's head must come in this time; a silent discovery is asked again.
-const HEAD: Duration = Duration::from_secs(5);
+const HEAD: Duration = Duration::from_millis(1_500);
 
 /// Follows the list for ever. `from` is the version of the list already known.
 pub async fn follow(address: SocketAddr, mut from: u64, mut hear: impl FnMut(Update)) {
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -134,9 +134,11 @@
         let verdict = if verdict == Verdict::Timeout && !written { Verdict::NoRoute } else { verdict };
         ended(verdict, written, reason)
     };
+    // Kept until the reason is noted: dropping it ends the connection.
+    let mut asked = std::pin::pin!(asked);
     let answer = tokio::select! {
         biased;
-        answer = asked => answer,
+        answer = &mut asked => answer,
         _ = &mut order.stop => return cut(&lane, Verdict::Cancelled, "cancelled"),
         () = actix_rt::time::sleep_until(until.into()) => return cut(&lane, Verdict::Timeout, "timed-out"),
     };
@@ -187,7 +189,8 @@
 /// Has it run? The protocol's table, for attempts that got no answer's head.
 fn failed(error: &SendRequestError, written: bool, refused: bool) -> (Verdict, &'static str) {
     match error {
-        _ if refused => (Verdict::Moot, "draining"),
+        // Another server may still take it: nothing ran.
+        _ if refused => (Verdict::NoRoute, "draining"),
         SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
         _ if !written => (Verdict::NoRoute, "no-connection"),
         SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, "reset"),
@@ -282,14 +285,19 @@
         let Some(lane) = pool.take(server) else { continue };
         let uri = format!("http://{}/bootstrap/rooms/{label}", server.address);
         lane.unwatched();
-        let asked = async {
-            let mut answer = lane.client.delete(uri).send().await.ok()?;
-            small(&mut answer).await.filter(|_| answer.status().is_success())
+        let answered = {
+            let mut asked = std::pin::pin!(async {
+                let mut answer = lane.client.delete(uri).send().await.ok()?;
+                small(&mut answer).await.filter(|_| answer.status().is_success())
+            });
+            let answered = actix_rt::time::timeout(RELEASE_TRY, &mut asked).await;
+            // Noted before the connection ends; one that is kept has it noted anew.
+            lane.closing("release-failed");
+            answered.ok().flatten().is_some()
         };
-        if actix_rt::time::timeout(RELEASE_TRY, asked).await.ok().flatten().is_some() {
+        if answered {
             return pool.give(lane);
         }
-        lane.closing("release-failed");
     }
     log!("release failed id={label}");
 }
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -93,6 +93,13 @@
         let config = include_str!("config.json");
         let (config, openai) = (self.folder.join("config.json"), {
             let text = if body.is_empty() { self.filled(config) } else { body.to_owned() };
+            // `name=number` among the arguments changes the configuration.
+            let changes = arguments.split_whitespace().filter_map(|argument| argument.split_once('='));
+            let text = changes.fold(text, |text, (name, value)| {
+                let at = text.find(&format!("\"{name}\": ")).unwrap() + name.len() + 4;
+                let end = at + text[at..].find([',', '}']).unwrap();
+                format!("{}{value}{}", &text[..at], &text[end..])
+            });
             std::fs::write(self.folder.join("config.json"), text).unwrap();
             self.folder.join("openai.toml")
         });
@@ -105,6 +112,7 @@
         command.args(
             arguments
                 .split_whitespace()
+                .filter(|argument| !argument.contains('='))
                 .map(|a| a.replace("FILE", openai.to_str().unwrap()).replace("ETCD", etcd.to_str().unwrap())),
         );
         let mut program = command.spawn().unwrap();
@@ -171,9 +179,12 @@
             }
             "close" => drop(self.peers.remove(rest)),
             "shut" => drop(self.listeners.remove(rest)),
+            "pause" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
             "term" => {
                 let id = self.program.as_ref().unwrap().id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().unwrap().success());
+                assert!(
+                    Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().unwrap().success()
+                );
             }
             "exit" => {
                 let status = self.program.as_mut().unwrap().wait().unwrap();
