--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -83,6 +83,8 @@
     reader: Option<Rc<Server>>,
     /// Where something may be held that has to be let go of once no attempt is out.
     owed: Option<Rc<Server>>,
+    /// How long its first event took.
+    first: Option<Duration>,
     started: bool,
     answered: bool,
     left: bool,
@@ -262,6 +264,7 @@
             current: None,
             reader: None,
             owed: None,
+            first: None,
             started: false,
             answered: false,
             left: false,
@@ -318,6 +321,7 @@
                 return false;
             }
             (open.started, open.answered) = (true, true);
+            open.first = Some(open.exchange.call.arrived.elapsed());
             // With the first event all that is held goes by itself.
             (open.reader, open.owed) = (None, None);
             open.exchange.open(Opening::Stream);
@@ -387,11 +391,12 @@
     fn done(&self, open: &Open, outcome: &str) {
         let call = &open.exchange.call;
         log!(
-            "request id={} class={} outcome={} attempts={} ms={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} ms={}",
             call.label,
             self.names.classes.get(call.class.0).map_or("-", |name| name),
             outcome,
             open.attempts,
+            open.first.map_or_else(|| "-".to_owned(), |first| first.as_millis().to_string()),
             call.arrived.elapsed().as_millis()
         );
     }
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -105,16 +105,26 @@
         });
         let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
         std::fs::write(&openai, models).unwrap();
+        let key = "[[key]]\nenv = \"FAWNSTREAM_KEY\"\ntenant = \"donaupay\"\n";
+        let keys = self.folder.join("keys.toml");
+        std::fs::write(&keys, std::fs::read_to_string(&openai).unwrap() + key).unwrap();
         let etcd = self.folder.join("etcd.toml");
         std::fs::write(&etcd, self.filled("endpoint = \"{d}\"\nprefix = \"/s/\"\n")).unwrap();
         let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
-        command.env_clear().env("PROXY_CONFIG", config).stderr(Stdio::piped()).stdin(Stdio::null());
-        command.args(
-            arguments
-                .split_whitespace()
-                .filter(|argument| !argument.contains('='))
-                .map(|a| a.replace("FILE", openai.to_str().unwrap()).replace("ETCD", etcd.to_str().unwrap())),
-        );
+        command
+            .env_clear()
+            .env("PROXY_CONFIG", config)
+            .env("FAWNSTREAM_KEY", "open sesame")
+            .stderr(Stdio::piped())
+            .stdin(Stdio::null());
+        command.args(arguments.split_whitespace().filter(|argument| !argument.contains('=')).map(|word| {
+            match word {
+                "FILE" => openai.clone().into_os_string(),
+                "KEYS" => keys.clone().into_os_string(),
+                "ETCD" => etcd.clone().into_os_string(),
+                _ => word.into(),
+            }
+        }));
         let mut program = command.spawn().unwrap();
         let (told, log) = channel();
         let stderr = BufReader::new(program.stderr.take().unwrap());
@@ -324,7 +334,8 @@
         stage.step(&verb, &rest, &body);
     }
     let outcomes = stage.lines.iter().filter(|line| line.contains(" outcome="));
-    let tail = |line: &String| line[line.find("class=").unwrap()..line.find(" ms=").unwrap()].to_owned();
+    let tail =
+        |line: &String| line[line.find("class=").unwrap()..line.find(" first_ms=").unwrap()].to_owned();
     outcomes.map(tail).collect()
 }
 
