--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -32,11 +32,11 @@
 /// A body comes whole in this time, or its client is told so.
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// A head comes in this time, on a new connection or from its first byte on.
-const HEAD_TIME: Duration = Duration::from_secs(30);
+const HEAD_TIME: Duration = Duration::from_secs(10);
 /// A connection without a request is kept for this long.
 const KEEP: Duration = Duration::from_secs(90);
 /// How often a connection's head is looked at: the server library has a time-out for the first head only.
-const LOOK: Duration = Duration::from_secs(5);
+const LOOK: Duration = Duration::from_secs(2);
 /// What a client sent and nobody read is taken for this long before its connection closes.
 const LINGER: Duration = Duration::from_millis(500);
 
