Read the configuration again on SIGHUP and move the watch to the new discovery

Checked: nothing took the signal (router/src/main.rs took SIGTERM alone), and the watch in list/discovery.rs held its address for good. Ruled out: a panic, the log ends without one.

Now SIGHUP is taken before the configuration is first read. All files are read and checked whole, then swapped; a bad one leaves the settings as they were and one line in the log. The watch moves at once and goes on from the version that it knows, so nothing is told twice or missed; etcd's file is read again as well, and another endpoint is asked for the whole list.

--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -99,14 +99,22 @@
 impl Config {
     /// Reads the file that `$PROXY_CONFIG` names; variables of their own outweigh it.
     pub fn load() -> Result<Self, ConfigError> {
+        Config::read(|name, value| std::env::var(name).ok().or(value))
+    }
+
+    /// Reads the file again. Now it outweighs the variables: they still say what held at the start.
+    pub fn reload() -> Result<Self, ConfigError> {
+        Config::read(|name, value| value.or_else(|| std::env::var(name).ok()))
+    }
+
+    fn read(choose: impl Fn(&str, Option<String>) -> Option<String>) -> Result<Self, ConfigError> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| ConfigError::Unset("PROXY_CONFIG"))?;
         let text = std::fs::read_to_string(&path)
             .map_err(|error| ConfigError::File { path: path.clone(), error })?;
         let wrong = |problem: String| ConfigError::Content { path: path.clone(), problem };
         let file: File = serde_json::from_str(&text).map_err(|error| wrong(error.to_string()))?;
-        let told = |name: &'static str, value: Option<String>| {
-            std::env::var(name).ok().or(value).ok_or(ConfigError::Unset(name))
-        };
+        let told =
+            |name: &'static str, value: Option<String>| choose(name, value).ok_or(ConfigError::Unset(name));
         let address = |name: &'static str, value: Option<String>| {
             let text = told(name, value)?;
             text.parse().map_err(|_| wrong(format!("{name}: `{text}` is not address:port")))
--- a/router/src/config/etcd.rs
+++ b/router/src/config/etcd.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 
 /// Where etcd answers, and under which keys the servers stand.
-#[derive(Clone, Deserialize)]
+#[derive(Clone, PartialEq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Etcd {
     /// Its JSON gateway.
--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -11,6 +11,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// A line longer than this is no list.
 const LONGEST_LINE: usize = 4 * 1024 * 1024;
@@ -100,6 +101,14 @@
     })
 }
 
+/// Waits until another source of the list is told.
+async fn moved<T>(told: &mut watch::Receiver<T>) {
+    if told.changed().await.is_err() {
+        // Nobody can tell any more.
+        std::future::pending::<()>().await;
+    }
+}
+
 /// A client for a watch: one connection, no time-out of its own, nothing followed.
 fn watcher(connect: Duration) -> awc::Client {
     let connector = awc::Connector::new().timeout(connect).limit(1);
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -1,9 +1,10 @@
 //! The platform's discovery: one watch that stays open, opened again with a growing wait when it ends.
 
-use super::{Update, Wire, read_lines, watcher};
+use super::{Update, Wire, moved, read_lines, watcher};
 use crate::log;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::sync::watch;
 
 /// First wait before a watch is opened again; doubles up to the longest while nothing comes.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
@@ -14,19 +15,31 @@
 /// The answer's head must come in this time; a silent discovery is asked again.
 const HEAD: Duration = Duration::from_millis(1_500);
 
-/// Follows the list for ever. `from` is the version of the list already known.
-pub async fn follow(address: SocketAddr, mut from: u64, mut hear: impl FnMut(Update)) {
+/// Follows the list for ever, at the address that was told last. `from` is the version of the list already
+/// known: a new address goes on from there, so that no news is lost between two.
+pub async fn follow(mut told: watch::Receiver<SocketAddr>, mut from: u64, mut hear: impl FnMut(Update)) {
     let mut wait = FIRST_WAIT;
     loop {
         let before = from;
-        let reason = watch(address, &mut from, &mut hear).await;
-        log!("connection peer=discovery code={reason} revision={from}");
+        let address = *told.borrow_and_update();
+        let reason = tokio::select! {
+            reason = follow_one(address, &mut from, &mut hear) => reason,
+            () = moved(&mut told) => "moved",
+        };
+        log!("connection peer=discovery address={address} code={reason} revision={from}");
+        if reason == "moved" {
+            wait = FIRST_WAIT;
+            continue;
+        }
         wait = if from == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
-        actix_rt::time::sleep(wait).await;
+        tokio::select! {
+            () = actix_rt::time::sleep(wait) => {}
+            () = moved(&mut told) => wait = FIRST_WAIT,
+        }
     }
 }
 
-async fn watch(address: SocketAddr, from: &mut u64, hear: &mut impl FnMut(Update)) -> &'static str {
+async fn follow_one(address: SocketAddr, from: &mut u64, hear: &mut impl FnMut(Update)) -> &'static str {
     let client = watcher(HEAD);
     let uri = format!("http://{address}/v1/servers?watch=1&from={from}");
     let asked = actix_rt::time::timeout(HEAD, client.get(uri).send()).await;
--- a/router/src/list/etcd.rs
+++ b/router/src/list/etcd.rs
@@ -1,7 +1,7 @@
 //! etcd's watch API as a source of the list, over its JSON gateway: one range for the whole list, then a watch
 //! of what changes after it. A key is a prefix and a server's id; its value is an entry in discovery's form.
 
-use super::{Entry, Update, entry, read_lines, watcher};
+use super::{Entry, Update, entry, moved, read_lines, watcher};
 use crate::config::etcd::Etcd;
 use crate::log;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
@@ -10,6 +10,7 @@
 use shedrelay::ServerState;
 use std::collections::BTreeMap;
 use std::time::Duration;
+use tokio::sync::watch;
 
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_millis(2_000);
@@ -62,16 +63,31 @@
     kv: Kv,
 }
 
-/// Follows the list for ever.
-pub async fn follow(told: Etcd, mut hear: impl FnMut(Update)) {
-    let mut source = Source { told, from: 0, known: BTreeMap::new() };
+/// Follows the list for ever, at the endpoint that was told last. Another one is asked for the whole list: its
+/// revisions may be its own.
+pub async fn follow(mut told: watch::Receiver<Etcd>, mut hear: impl FnMut(Update)) {
+    let fresh = |told: &mut watch::Receiver<Etcd>| Source {
+        told: told.borrow_and_update().clone(),
+        from: 0,
+        known: BTreeMap::new(),
+    };
+    let mut source = fresh(&mut told);
     let mut wait = FIRST_WAIT;
     loop {
         let before = source.from;
-        let reason = source.watch(&mut hear).await;
-        log!("connection peer=etcd code={reason} revision={}", source.from);
-        wait = if source.from == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
-        actix_rt::time::sleep(wait).await;
+        let reason = tokio::select! {
+            reason = source.watch(&mut hear) => reason,
+            () = moved(&mut told) => "moved",
+        };
+        log!("connection peer=etcd address={} code={reason} revision={}", source.told.endpoint, source.from);
+        if reason != "moved" {
+            wait = if source.from == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
+            tokio::select! {
+                () = actix_rt::time::sleep(wait) => continue,
+                () = moved(&mut told) => {}
+            }
+        }
+        (source, wait) = (fresh(&mut told), FIRST_WAIT);
     }
 }
 
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -13,10 +13,12 @@
 
 use clients::{Shared, openai, platform};
 use config::Config;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
 
 /// After SIGTERM clients keep coming for a moment, until the front layer has heard; they are still served.
 const STILL_OPEN: Duration = Duration::from_millis(600);
@@ -34,10 +36,35 @@
     Io { what: String, error: std::io::Error },
 }
 
+/// SIGHUP: the whole configuration is read and checked before anything of it holds. Guards against a file that
+/// is broken or half written: the settings stay as they were.
+fn reload(discovery: &watch::Sender<SocketAddr>, etcd: Option<&watch::Sender<config::etcd::Etcd>>) {
+    let config = match Config::reload() {
+        Ok(config) => config,
+        Err(error) => return log!("reload kept=old reason=\"{error}\""),
+    };
+    let mut moved = swap(discovery, config.discovery);
+    if let (Some(etcd), Some(told)) = (etcd, config.etcd) {
+        moved |= swap(etcd, told);
+    }
+    log!("reload done discovery={} moved={moved}", config.discovery);
+}
+
+/// Tells a new value to who waits for it, if it is one.
+fn swap<T: PartialEq>(told: &watch::Sender<T>, new: T) -> bool {
+    told.send_if_modified(|old| {
+        let changed = *old != new;
+        *old = new;
+        changed
+    })
+}
+
 async fn run() -> Result<(), Failure> {
-    let config = Config::load()?;
     let io = |what: String| move |error| Failure::Io { what, error };
+    // Taken first: a signal that nobody takes ends the program.
+    let mut hup = signal(SignalKind::hangup()).map_err(io("SIGHUP".to_owned()))?;
     let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM".to_owned()))?;
+    let config = Config::load()?;
     let core = core::Core::new(config.settings, config.names, config.seed)?;
     core.connect(servers::Fleet::new(core.clone(), config.links, config.server_sockets));
     let from = config.known.as_ref().map_or(0, |known| known.revision);
@@ -46,9 +73,11 @@
     }
     let listed = core.clone();
     let hear = move |update| listed.listed(update);
-    match config.etcd {
-        Some(told) => drop(actix_rt::spawn(list::etcd::follow(told, hear))),
-        None => drop(actix_rt::spawn(list::discovery::follow(config.discovery, from, hear))),
+    let discovery = watch::Sender::new(config.discovery);
+    let etcd = config.etcd.map(watch::Sender::new);
+    match &etcd {
+        Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
+        None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, hear))),
     }
     let listener =
         TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
@@ -66,7 +95,12 @@
     }
     log!("started name={} listen={listen} discovery={}", config.name, config.discovery);
 
-    term.recv().await;
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            Some(()) = hup.recv() => reload(&discovery, etcd.as_ref()),
+        }
+    }
     log!("stopping requests={} connections={}", core.busy(), shared.open());
     shared.stopping.set(true);
     actix_rt::time::sleep(STILL_OPEN).await;
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -77,7 +77,7 @@
         let folder = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         std::fs::create_dir_all(&folder).unwrap();
         let listen = |name: &str| (name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
-        let listeners = ["d", "r1", "r2", "w1", "w2"].map(listen).into();
+        let listeners = ["d", "e", "r1", "r2", "w1", "w2"].map(listen).into();
         let (peers, clients) = (HashMap::new(), HashMap::new());
         Stage { program: None, log: None, lines: Vec::new(), listeners, peers, clients, folder }
     }
@@ -89,20 +89,21 @@
         })
     }
 
+    /// A configuration: the usual one if none is told. `name=value` among the arguments changes it.
+    fn configured(&self, arguments: &str, body: &str) -> String {
+        let usual = include_str!("config.json");
+        let text = if body.is_empty() { self.filled(usual) } else { body.to_owned() };
+        let changes = arguments.split_whitespace().filter_map(|argument| argument.split_once('='));
+        changes.fold(text, |text, (name, value)| {
+            let at = text.find(&format!("\"{name}\": ")).unwrap() + name.len() + 4;
+            let end = at + text[at..].find([',', '}']).unwrap();
+            format!("{}{}{}", &text[..at], self.filled(value), &text[end..])
+        })
+    }
+
     fn start(&mut self, arguments: &str, body: &str) {
-        let config = include_str!("config.json");
-        let (config, openai) = (self.folder.join("config.json"), {
-            let text = if body.is_empty() { self.filled(config) } else { body.to_owned() };
-            // `name=number` among the arguments changes the configuration.
-            let changes = arguments.split_whitespace().filter_map(|argument| argument.split_once('='));
-            let text = changes.fold(text, |text, (name, value)| {
-                let at = text.find(&format!("\"{name}\": ")).unwrap() + name.len() + 4;
-                let end = at + text[at..].find([',', '}']).unwrap();
-                format!("{}{value}{}", &text[..at], &text[end..])
-            });
-            std::fs::write(self.folder.join("config.json"), text).unwrap();
-            self.folder.join("openai.toml")
-        });
+        let (config, openai) = (self.folder.join("config.json"), self.folder.join("openai.toml"));
+        std::fs::write(&config, self.configured(arguments, body)).unwrap();
         let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
         std::fs::write(&openai, models).unwrap();
         let key = "[[key]]\nenv = \"FAWNSTREAM_KEY\"\ntenant = \"donaupay\"\n";
@@ -190,11 +191,20 @@
             "close" => drop(self.peers.remove(rest)),
             "shut" => drop(self.listeners.remove(rest)),
             "pause" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
-            "term" => {
+            "term" | "hup" => {
                 let id = self.program.as_ref().unwrap().id().to_string();
-                assert!(
-                    Command::new("sh").args(["-c", &format!("kill -TERM {id}")]).status().unwrap().success()
-                );
+                let kill = format!("kill -{} {id}", verb.to_uppercase());
+                assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+            }
+            "etcd" => {
+                let text = format!("endpoint = \"{}\"\nprefix = \"/s/\"\n", self.filled(rest));
+                std::fs::write(self.folder.join("etcd.toml"), text).unwrap();
+            }
+            // A new configuration in place of the old one, put there whole.
+            "config" => {
+                let (new, config) = (self.folder.join("config.new"), self.folder.join("config.json"));
+                std::fs::write(&new, self.configured(rest, body)).unwrap();
+                std::fs::rename(new, config).unwrap();
             }
             "exit" => {
                 let status = self.program.as_mut().unwrap().wait().unwrap();
@@ -331,6 +341,7 @@
             .for_each(&mut read);
     }
     for (verb, rest, body) in steps {
+        let rest = stage.filled(&rest);
         stage.step(&verb, &rest, &body);
     }
     let outcomes = stage.lines.iter().filter(|line| line.contains(" outcome="));
