Bound what clients may take and pass on only answers that can be read

Clients' side (clients/conn.rs, clients/door.rs): 2.4 s from the accept or a later head's first byte for head and body; idle connections close after 2.3 s; at the cap the silent go first, then the longest idle; heads of 32 KiB, 16 KiB read ahead of an answer under way (actix-http span there), bodies a fifth of the memory; after an error the sending side closes and what still comes is thrown away for 1.5 s. Fields that come twice, lengths that no prompt has and bodies that are no JSON get a 400; every 4xx ends its connection. Servers' side (servers/frames.rs, servers/link.rs, servers.rs): heads and chunks are checked whole before awc sees them, 1xx are taken out, a part that does not come whole in 0.5 s is spoilt, a connection with unread bytes is not used again; events are passed on whole; a 4xx ends the request with a 400, no blame and no other try; after [DONE] the last chunk has 1 s. The core's list drops servers that left, and a request's timer ends with it.

Tests: bad, framing, large_body, large_head, slow_head, slow_body, silent, crowd, twice, unusable, spoilt_first, spoilt_later, more_than_asked, late_last_chunk.

--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -1,37 +1,105 @@
-//! A client's connection, and what its log line needs to know of it.
+//! A client's connection: what its log line needs to know of it, by when its next request must be whole, and how
+//! much is read of it. actix-http bounds neither the time of a body or of a later head nor, to less than 128 KiB,
+//! what it takes in; and while a request is under way it reads on without a pause. Both are guarded against here.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
+
+/// A request comes whole in this time, head and body, from the accept or, on a connection that was used before,
+/// from its first byte on. A client that says nothing has as long.
+pub const REQUEST_TIME: Duration = Duration::from_millis(2_400);
+/// A connection without a request is kept for this long after an answer.
+pub const KEEP: Duration = Duration::from_millis(2_300);
+/// A head is no longer than this.
+const LARGEST_HEAD: usize = 32 * 1024;
+/// Read at one go; then what came is looked at first.
+const PIECE: usize = 16 * 1024;
+/// What is read behind a request while its answer is under way.
+const AHEAD: usize = 16 * 1024;
 
 /// What happened on a connection.
-#[derive(Default)]
 pub struct Conn {
     /// Requests whose head came.
     pub requests: Cell<u64>,
     /// The client ended it.
     pub ended: Cell<bool>,
+    /// Its head grew too large.
+    pub large: Cell<bool>,
+    /// Since when it is without a request.
+    pub since: Cell<Instant>,
+    /// Its place is needed for another: it is about to end.
+    pub evict: Notify,
+    /// It was told so.
+    pub leaving: Cell<bool>,
+    /// The socket, once the server library has let go of it.
+    pub socket: RefCell<Option<TcpStream>>,
     busy: Cell<u32>,
-    begun: Cell<Option<Instant>>,
+    /// By when the next request is whole.
+    due: Cell<Option<Instant>>,
+    /// Bytes of a head, or ahead of the answer under way.
+    bytes: Cell<usize>,
+    whole: Cell<bool>,
+    paused: RefCell<Option<Waker>>,
 }
 
 impl Conn {
+    /// A connection just accepted.
+    pub fn new() -> Rc<Self> {
+        let now = Instant::now();
+        Rc::new(Conn {
+            requests: Cell::new(0),
+            ended: Cell::new(false),
+            large: Cell::new(false),
+            since: Cell::new(now),
+            evict: Notify::new(),
+            leaving: Cell::new(false),
+            socket: RefCell::default(),
+            busy: Cell::new(0),
+            due: Cell::new(Some(now + REQUEST_TIME)),
+            bytes: Cell::new(0),
+            whole: Cell::new(false),
+            paused: RefCell::default(),
+        })
+    }
+
     /// A request's head came; until the guard goes its answer is under way.
     pub fn request(self: &Rc<Self>) -> Busy {
         self.requests.set(self.requests.get() + 1);
         self.busy.set(self.busy.get() + 1);
-        self.begun.set(None);
+        self.bytes.set(0);
         Busy(self.clone())
     }
 
-    /// For how long a head has been coming.
-    pub fn head_time(&self) -> Option<Duration> {
-        self.begun.get().map(|begun| begun.elapsed())
+    /// No request is under way.
+    pub fn idle(&self) -> bool {
+        self.busy.get() == 0
+    }
+
+    /// Part of a head came.
+    pub fn begun(&self) -> bool {
+        self.idle() && self.bytes.get() > 0
+    }
+
+    /// By when the next request is whole, or the connection closes.
+    pub fn due(&self) -> Option<Instant> {
+        self.due.get()
+    }
+
+    /// The time that is left for a body; who reads it sees to it.
+    pub fn take_due(&self) -> Option<Instant> {
+        self.due.take()
+    }
+
+    /// A request's body is whole.
+    pub fn whole(&self) {
+        self.whole.set(true);
     }
 }
 
@@ -40,34 +108,79 @@
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.busy.set(self.0.busy.get() - 1);
+        let conn = &self.0;
+        conn.busy.set(conn.busy.get() - 1);
+        if conn.idle() {
+            let now = Instant::now();
+            conn.since.set(now);
+            conn.due.set(Some(now + KEEP));
+            conn.bytes.set(0);
+            conn.whole.set(false);
+            if let Some(paused) = conn.paused.take() {
+                paused.wake();
+            }
+        }
     }
 }
 
-/// A connection that notes who ended it.
+/// A connection's bytes.
 pub struct Wire {
-    stream: TcpStream,
+    stream: Option<TcpStream>,
     /// What happened on it.
     pub conn: Rc<Conn>,
+    /// Read since there was nothing more to read.
+    read: usize,
 }
 
 impl Wire {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream, conn: Rc<Conn>) -> Self {
-        Wire { stream, conn }
+        Wire { stream: Some(stream), conn, read: 0 }
+    }
+
+    fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
+        self.stream.as_mut().map(Pin::new).ok_or_else(|| io::ErrorKind::NotConnected.into())
+    }
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        // Its end is seen to by who accepted it.
+        *self.conn.socket.borrow_mut() = self.stream.take();
     }
 }
 
 impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        let conn = this.conn.clone();
+        if this.read >= PIECE {
+            this.read = 0;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        if conn.idle() && conn.bytes.get() >= LARGEST_HEAD {
+            conn.large.set(true);
+            return Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
+        }
+        if conn.whole.get() && conn.bytes.get() >= AHEAD {
+            *conn.paused.borrow_mut() = Some(cx.waker().clone());
+            return Poll::Pending;
+        }
         let before = buf.filled().len();
-        let read = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before {
-            this.conn.ended.set(true);
-        } else if buf.filled().len() > before && this.conn.busy.get() == 0 && this.conn.begun.get().is_none()
-        {
-            this.conn.begun.set(Some(Instant::now()));
+        let read = this.stream()?.poll_read(cx, buf);
+        let came = buf.filled().len() - before;
+        match read {
+            Poll::Pending => this.read = 0,
+            Poll::Ready(Ok(())) if came == 0 => conn.ended.set(true),
+            _ => {}
+        }
+        this.read += came;
+        if came > 0 && conn.idle() && conn.bytes.get() == 0 && conn.requests.get() > 0 {
+            conn.due.set(Some(Instant::now() + REQUEST_TIME));
+        }
+        if conn.idle() || conn.whole.get() {
+            conn.bytes.set(conn.bytes.get() + came);
         }
         read
     }
@@ -75,14 +188,14 @@
 
 impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.get_mut().stream).poll_write(cx, buf)
+        self.get_mut().stream()?.poll_write(cx, buf)
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_flush(cx)
+        self.get_mut().stream()?.poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        self.get_mut().stream()?.poll_shutdown(cx)
     }
 }
--- /dev/null
+++ b/router/src/clients/door.rs
@@ -0,0 +1,293 @@
+//! The door: accepts clients' connections, sees to it that there is room for those that ask something, and ends
+//! each of them in order.
+
+use super::conn::{Conn, Wire};
+use crate::core::Core;
+use crate::log;
+use actix_http::body::BoxBody;
+use actix_http::error::DispatchError;
+use actix_http::{ConnectionType, HttpService, Request, Response};
+use actix_service::{Service, ServiceFactory, fn_service};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::future::Future;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// What a client still sends is taken for this long after its answer: closing on bytes that nobody read would
+/// reset the connection, and take the answer from the client.
+const LINGER: Duration = Duration::from_millis(1_500);
+/// How often a connection with a request under way is looked at; no longer than its times in `conn.rs`.
+const LOOK: Duration = Duration::from_secs(2);
+/// A connection that never asked anything is given up for another one only when it is older than this.
+const FRESH: Duration = Duration::from_millis(150);
+/// Connections beyond the limit that are told so, rather than just closed.
+const MOST_TURNED_AWAY: usize = 16;
+/// A wait when the system has no descriptor left: others must end first.
+const NO_DESCRIPTORS: Duration = Duration::from_millis(20);
+
+const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+const LARGE: &[u8] =
+    b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+const FULL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+
+/// What all fronts share.
+pub struct Shared {
+    /// Where requests go.
+    pub core: Rc<Core>,
+    /// The program is about to end: answers close their connections.
+    pub stopping: Cell<bool>,
+    /// Connections that are open; each is taken out by its task when it ends.
+    conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
+    last: Cell<u64>,
+    most: usize,
+    turned_away: Cell<usize>,
+    bodies: Rc<Cell<usize>>,
+    most_bodies: usize,
+    stop: watch::Sender<bool>,
+}
+
+impl Shared {
+    /// With so many client connections, and so many bytes of requests' bodies, at most.
+    pub fn new(core: Rc<Core>, most: usize, most_bodies: usize) -> Rc<Self> {
+        Rc::new(Shared {
+            core,
+            stopping: Cell::new(false),
+            conns: RefCell::default(),
+            last: Cell::new(0),
+            most,
+            turned_away: Cell::new(0),
+            bodies: Rc::default(),
+            most_bodies,
+            stop: watch::Sender::new(false),
+        })
+    }
+
+    /// No connection is accepted from now on, and those without a request are closed.
+    pub fn drain(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Client connections that are open.
+    pub fn open(&self) -> usize {
+        self.conns.borrow().len()
+    }
+
+    /// Room for a body, none of it taken yet.
+    pub fn hold(&self) -> Held {
+        Held { bytes: 0, all: self.bodies.clone(), most: self.most_bodies }
+    }
+
+    /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
+    /// start, else longest without a request. False if all have requests under way.
+    fn make_room(&self) -> bool {
+        let conns = self.conns.borrow();
+        if conns.len() < self.most {
+            return true;
+        }
+        let rank = |conn: &&Rc<Conn>| {
+            let fresh = conn.since.get().elapsed() < FRESH;
+            let rank = match (conn.requests.get(), fresh) {
+                (0, false) => 0,
+                (0, true) => 2,
+                _ => 1,
+            };
+            (rank, conn.since.get())
+        };
+        let least = conns.values().filter(|conn| conn.idle() && !conn.leaving.get()).min_by_key(rank);
+        let Some(least) = least else { return false };
+        least.leaving.set(true);
+        least.evict.notify_one();
+        true
+    }
+}
+
+/// A part of the memory that all bodies may take together; goes back by itself.
+pub struct Held {
+    bytes: usize,
+    all: Rc<Cell<usize>>,
+    most: usize,
+}
+
+impl Held {
+    /// Takes more; false if there is no more.
+    pub fn add(&mut self, bytes: usize) -> bool {
+        if self.all.get() + bytes > self.most {
+            return false;
+        }
+        self.bytes += bytes;
+        self.all.set(self.all.get() + bytes);
+        true
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        self.all.set(self.all.get() - self.bytes);
+    }
+}
+
+/// Serves one front until the program ends.
+pub async fn serve<F, A>(listener: TcpListener, shared: Rc<Shared>, front: F)
+where
+    F: Fn(Rc<Shared>, Request) -> A + Clone + 'static,
+    A: Future<Output = Response<BoxBody>> + 'static,
+{
+    let of = shared.clone();
+    let stop = shared.stop.subscribe();
+    let service = fn_service(move |request: Request| {
+        let (shared, front) = (of.clone(), front.clone());
+        async move {
+            let mut response = front(shared.clone(), request).await;
+            if shared.stopping.get() {
+                response.head_mut().set_connection_type(ConnectionType::Close);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let factory = HttpService::<Wire, _, BoxBody>::build()
+        // Times are kept by `Conn`, and the end of a connection is seen to here.
+        .keep_alive(Duration::from_secs(24 * 3_600))
+        .client_request_timeout(Duration::ZERO)
+        .client_disconnect_timeout(Duration::ZERO)
+        // A client that closes its connection has gone away.
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || {
+            let mut stop = stop.clone();
+            async move {
+                let _ = stop.wait_for(|stop| *stop).await;
+            }
+        })
+        .on_connect_ext(|wire: &Wire, data| {
+            data.insert(wire.conn.clone());
+        })
+        .h1(service);
+    let Ok(handler) = factory.new_service(()).await else {
+        log!("front failed reason=no-service");
+        return;
+    };
+    let mut stop = shared.stop.subscribe();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stop| *stop) => return,
+        };
+        match accepted {
+            Ok((stream, _)) if !shared.make_room() => turn_away(&shared, stream),
+            Ok((stream, peer)) => {
+                let _ = stream.set_nodelay(true);
+                let conn = Conn::new();
+                let served = handler.call((Wire::new(stream, conn.clone()), Some(peer)));
+                let number = shared.last.get() + 1;
+                shared.last.set(number);
+                shared.conns.borrow_mut().insert(number, conn.clone());
+                let shared = shared.clone();
+                actix_rt::spawn(async move {
+                    let code = follow(served, &conn, &shared).await;
+                    shared.conns.borrow_mut().remove(&number);
+                    log!(
+                        "connection peer=client address={peer} code={code} requests={}",
+                        conn.requests.get()
+                    );
+                });
+            }
+            Err(error) => {
+                log!("accept failed error=\"{error}\"");
+                actix_rt::time::sleep(NO_DESCRIPTORS).await;
+            }
+        }
+    }
+}
+
+/// A connection from its accept to its end; gives the reason.
+async fn follow(
+    served: impl Future<Output = Result<(), DispatchError>>,
+    conn: &Rc<Conn>,
+    shared: &Shared,
+) -> &'static str {
+    let mut served = Box::pin(served);
+    let code = loop {
+        let look = conn.due().unwrap_or_else(|| Instant::now() + LOOK);
+        tokio::select! {
+            biased;
+            end = &mut served => break code(&end, conn, shared.stopping.get()),
+            () = conn.evict.notified() => break "evicted",
+            () = actix_rt::time::sleep_until(look.into()) => {
+                if conn.due().is_some_and(|due| due <= Instant::now()) {
+                    break match conn.requests.get() {
+                        _ if conn.begun() => "slow-head",
+                        0 => "no-request",
+                        _ => "idle",
+                    };
+                }
+            }
+        }
+    };
+    // The library lets go of the socket.
+    drop(served);
+    let socket = conn.socket.borrow_mut().take();
+    let answer: &[u8] = match code {
+        "slow-head" => LATE,
+        "large-head" => LARGE,
+        "closed" | "bad-head" => b"",
+        _ => return code,
+    };
+    if let Some(socket) = socket.filter(|_| !conn.ended.get()) {
+        tokio::select! {
+            () = linger(socket, answer) => {}
+            () = conn.evict.notified() => {}
+        }
+    }
+    code
+}
+
+/// Ends a connection on which the client may still be sending: the answer goes out, then the sending side is
+/// closed, and what still comes is thrown away for a while.
+async fn linger(mut socket: TcpStream, answer: &[u8]) {
+    let all = async {
+        let _ = socket.write_all(answer).await;
+        let _ = socket.shutdown().await;
+        let mut sink = vec![0; 16 * 1024];
+        while socket.readable().await.is_ok() {
+            match socket.try_read(&mut sink) {
+                Ok(0) => return,
+                Err(error) if error.kind() != std::io::ErrorKind::WouldBlock => return,
+                _ => {}
+            }
+        }
+    };
+    let _ = actix_rt::time::timeout(LINGER, all).await;
+}
+
+/// No room for this one.
+fn turn_away(shared: &Rc<Shared>, socket: TcpStream) {
+    log!("connection peer=client code=no-room requests=0");
+    if shared.turned_away.get() >= MOST_TURNED_AWAY {
+        return;
+    }
+    shared.turned_away.set(shared.turned_away.get() + 1);
+    let shared = shared.clone();
+    actix_rt::spawn(async move {
+        linger(socket, FULL).await;
+        shared.turned_away.set(shared.turned_away.get() - 1);
+    });
+}
+
+/// The reason why a connection ended, for the log.
+fn code(end: &Result<(), DispatchError>, conn: &Conn, stopping: bool) -> &'static str {
+    match end {
+        _ if conn.large.get() => "large-head",
+        Err(DispatchError::Body(_)) => "answer-broken",
+        Err(DispatchError::Parse(_)) => "bad-head",
+        Err(DispatchError::Io(_)) => "reset",
+        Err(_) => "error",
+        Ok(()) if conn.ended.get() => "client-closed",
+        Ok(()) if stopping => "stopping",
+        Ok(()) if conn.requests.get() == 0 => "no-request",
+        Ok(()) => "closed",
+    }
+}
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -68,16 +68,20 @@
                 &api::models(&api.told, path.strip_prefix("/v1/models/"))?,
             ));
         }
-        let body = body(&mut request).await?;
-        let chat = Chat::parse(&api.told, &body)?;
+        let body = body(&shared, &mut request).await?;
+        let chat = Chat::parse(&api.told, &body.bytes)?;
         let id = api.id();
-        let call = chat.call(&api.told, tenant, id.clone(), arrived);
+        let call = chat.call(&api.told, tenant, id.clone(), arrived, body.held);
         let end = shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)?;
         Ok(answer(end, &chat, &id, busy).await)
     };
     answered.await.unwrap_or_else(|refusal: Refusal| {
         log!("request refused code={} reason={:?}", refusal.status.as_u16(), refusal.message);
-        refusal_response(&refusal, &mut Response::build(refusal.status))
+        let mut response = Response::build(refusal.status);
+        if refusal.close {
+            response.force_close();
+        }
+        refusal_response(&refusal, &mut response)
     })
 }
 
@@ -133,6 +137,10 @@
             refusal_response(&refusal, &mut response)
         }
         Opening::Failed => failed(),
+        Opening::Unusable => {
+            let refusal = Refusal::from(Bad::Unusable);
+            refusal_response(&refusal, Response::build(refusal.status).force_close())
+        }
     }
 }
 
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -1,6 +1,6 @@
 //! What clients of the OpenAI-style API say and are told, apart from answers.
 
-use super::super::Bad;
+use super::super::{Bad, Held};
 use crate::config::openai::{Model, OpenAi};
 use crate::exchange::Call;
 use actix_http::StatusCode;
@@ -24,12 +24,21 @@
     kind: &'static str,
     param: Option<&'static str>,
     code: Option<&'static str>,
+    /// What came was no request of this API at all: its client has to connect anew.
+    pub close: bool,
 }
 
 impl Refusal {
     fn invalid(param: Option<&'static str>, message: impl Into<String>) -> Self {
         let kind = "invalid_request_error";
-        Refusal { status: StatusCode::BAD_REQUEST, message: message.into(), kind, param, code: None }
+        Refusal {
+            status: StatusCode::BAD_REQUEST,
+            message: message.into(),
+            kind,
+            param,
+            code: None,
+            close: false,
+        }
     }
 
     /// The servers cannot take it now; trying again is harmless.
@@ -40,6 +49,7 @@
             kind: "server_error",
             param: None,
             code: Some("overloaded"),
+            close: false,
         }
     }
 
@@ -51,6 +61,7 @@
             kind: "server_error",
             param: None,
             code: Some("failed"),
+            close: false,
         }
     }
 
@@ -62,7 +73,7 @@
 
 impl From<Bad> for Refusal {
     fn from(bad: Bad) -> Self {
-        Refusal { status: bad.status(), ..Refusal::invalid(None, bad.to_string()) }
+        Refusal { status: bad.status(), close: true, ..Refusal::invalid(None, bad.to_string()) }
     }
 }
 
@@ -205,7 +216,14 @@
     }
 
     /// The request as the core sees it.
-    pub fn call(&self, told: &OpenAi, tenant: Option<TenantId>, label: String, arrived: Instant) -> Call {
+    pub fn call(
+        &self,
+        told: &OpenAi,
+        tenant: Option<TenantId>,
+        label: String,
+        arrived: Instant,
+        held: Held,
+    ) -> Call {
         let model = &told.models[self.place];
         Call {
             label,
@@ -220,6 +238,7 @@
             budget: model.deadline,
             target: super::CHAT.to_owned(),
             body: self.body.clone(),
+            _held: Some(Box::new(held)),
         }
     }
 }
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
-use super::{Answer, Bad, Render, Shared, body, health, note, seconds};
+use super::{Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, health, note, seconds};
 use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
 use crate::log;
@@ -8,6 +8,7 @@
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
+use serde::de::IgnoredAny;
 use shedrelay::{ClassId, Key, TenantId};
 use shedrelay_settings::Names;
 use std::rc::Rc;
@@ -17,8 +18,9 @@
 const HEALTH: &str = "/healthz";
 /// No client waits longer than this; a budget beyond it is a mistake.
 const LONGEST_BUDGET: f64 = 3_600.0;
-/// No prompt or answer has more tokens than this.
-const MOST_TOKENS: f64 = 1e9;
+/// No prompt or answer has more tokens than this: a body is no larger, and a token is four characters. Guards the
+/// gate, which would hold up all others until there is room for the impossible.
+const MOST_TOKENS: f64 = (LARGEST_BODY / 4) as f64;
 const LONGEST_ID: usize = 64;
 
 /// A server's events pass unchanged.
@@ -44,7 +46,7 @@
         if request.method() != Method::POST {
             return Err(Bad::Method);
         }
-        let body = body(&mut request).await?;
+        let body = body(&shared, &mut request).await?;
         let target = request.uri().path_and_query().map_or(CHAT, |target| target.as_str()).to_owned();
         let call = call(request.headers(), shared.core.names(), arrived, target, body)?;
         shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
@@ -54,7 +56,8 @@
         Err(bad) => {
             log!("request refused code={} reason=\"{bad}\"", bad.status().as_u16());
             let text = format!("{bad}\n");
-            return Response::build(bad.status()).body(text).map_into_boxed_body();
+            // Its client may go on as wrongly: it has to connect anew.
+            return Response::build(bad.status()).force_close().body(text).map_into_boxed_body();
         }
     };
     match end.opening().await {
@@ -71,16 +74,27 @@
             response
         }
         Opening::Failed => Response::new(StatusCode::BAD_GATEWAY),
+        Opening::Unusable => Response::build(Bad::Unusable.status())
+            .force_close()
+            .body(format!("{}\n", Bad::Unusable))
+            .map_into_boxed_body(),
     }
 }
 
 /// The core's view of a request, from its head.
-fn call(head: &HeaderMap, names: &Names, arrived: Instant, target: String, body: Bytes) -> Result<Call, Bad> {
-    let text = |name: &str| match head.get(name).map(HeaderValue::to_str) {
-        Some(Ok(text)) => Ok(text.trim()),
-        Some(Err(_)) => Err(wrong(name)),
-        None => Err(Bad::Field(format!("{name} is missing"))),
+fn call(head: &HeaderMap, names: &Names, arrived: Instant, target: String, body: Body) -> Result<Call, Bad> {
+    // A field that comes twice may be read in two ways, and is wrong.
+    let text = |name: &str| {
+        let mut values = head.get_all(name);
+        match (values.next().map(HeaderValue::to_str), values.next()) {
+            (Some(Ok(text)), None) => Ok(text.trim()),
+            (None, _) => Err(Bad::Field(format!("{name} is missing"))),
+            _ => Err(wrong(name)),
+        }
     };
+    if serde_json::from_slice::<IgnoredAny>(&body.bytes).is_err() {
+        return Err(Bad::Field("the body is no JSON".to_owned()));
+    }
     let label = text("X-Call-Id")?;
     let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     if label.is_empty() || label.len() > LONGEST_ID || !label.chars().all(plain) {
@@ -113,7 +127,7 @@
             _ => continue,
         };
         let tokens: f64 = value.trim().parse().map_err(|_| wrong("X-Call-Info"))?;
-        if !(0.0..=MOST_TOKENS).contains(&tokens) {
+        if !(0.0..=MOST_TOKENS).contains(&tokens) || lengths[place].is_some() {
             return Err(wrong("X-Call-Info"));
         }
         lengths[place] = Some(tokens);
@@ -123,7 +137,7 @@
         label: label.to_owned(),
         session: Some(session),
         prefix: prefix.filter(|prefix| prefix.0 != 0),
-        prefix_len: prefix_len.unwrap_or(0.0),
+        prefix_len: prefix_len.unwrap_or(0.0).min(prompt_len),
         prompt_len,
         max_out,
         class: ClassId(class),
@@ -131,7 +145,8 @@
         arrived,
         budget: Duration::from_secs_f64(budget),
         target,
-        body,
+        body: body.bytes,
+        _held: Some(Box::new(body.held)),
     })
 }
 
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -16,6 +16,12 @@
 /// With fewer descriptors than this a router cannot work.
 const LEAST_SOCKETS: usize = 80;
 
+/// Bytes that requests' bodies may hold together for each MB of the memory: a fifth of it. The rest is for
+/// buffers, of which each connection has some 32 KiB when it is busy.
+const BODY_PART: f64 = 1024.0 * 1024.0 / 5.0;
+/// With less memory than this a router cannot work.
+const LEAST_MEMORY_MB: f64 = 16.0;
+
 /// Why the router cannot start.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -60,11 +66,12 @@
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, memory_mb: 192.0 }
     }
 }
 
@@ -82,6 +89,8 @@
     pub client_sockets: usize,
     /// Server connections that may be open at once.
     pub server_sockets: usize,
+    /// Bytes of requests' bodies that may be held at once.
+    pub body_bytes: usize,
     /// The list of servers as last held; may be old.
     pub known: Option<list::Wire>,
     /// The module's settings.
@@ -123,6 +132,10 @@
         if sockets < LEAST_SOCKETS {
             return Err(wrong(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}")));
         }
+        let memory_mb = file.limits.memory_mb;
+        if memory_mb < LEAST_MEMORY_MB {
+            return Err(wrong(format!("limits.memory_mb: {memory_mb} is under {LEAST_MEMORY_MB}")));
+        }
         let client_sockets = ((sockets - SPARE_SOCKETS) as f64 * CLIENT_PART) as usize;
         let links = file.settings.links();
         let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
@@ -144,6 +157,7 @@
             seed: seed(&file.seed),
             client_sockets,
             server_sockets: sockets - SPARE_SOCKETS - client_sockets,
+            body_bytes: (memory_mb * BODY_PART) as usize,
             known: file.known,
             settings,
             names,
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -61,6 +61,8 @@
     pub written: bool,
     /// A reason for the log.
     pub reason: &'static str,
+    /// The server works and says that it can't use the request.
+    pub unusable: bool,
 }
 
 /// The servers' side.
@@ -74,8 +76,18 @@
     fn retire(&self, server: &Server);
 }
 
+/// A timer that ends with what it watches. Guards against one that outlives its request by all of its budget.
+struct Alarm(actix_rt::task::JoinHandle<()>);
+
+impl Drop for Alarm {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 struct Open {
     exchange: Rc<Exchange>,
+    _overdue: Alarm,
     deadline: Instant,
     attempts: u32,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
@@ -198,6 +210,10 @@
                     tell(&old, now);
                     gone.push((member.server, old));
                 }
+                // Guards against a list that grows with each server that ever was.
+                if member.state == ServerState::Left {
+                    list.remove(&member.server);
+                }
                 members.push(member);
             }
         }
@@ -257,8 +273,16 @@
             class: call.class,
             tenant: call.tenant,
         };
+        let me = self.me.clone();
+        let overdue = Alarm(actix_rt::spawn(async move {
+            actix_rt::time::sleep_until((deadline + OVERDUE).into()).await;
+            if let Some(core) = me.upgrade() {
+                core.overdue(id);
+            }
+        }));
         let open = Open {
             exchange: exchange.clone(),
+            _overdue: overdue,
             deadline,
             attempts: 0,
             current: None,
@@ -270,13 +294,6 @@
             left: false,
         };
         self.open.borrow_mut().insert(id, open);
-        let me = self.me.clone();
-        actix_rt::spawn(async move {
-            actix_rt::time::sleep_until((deadline + OVERDUE).into()).await;
-            if let Some(core) = me.upgrade() {
-                core.overdue(id);
-            }
-        });
         self.handle(Event::Request(ask));
         Some(ClientEnd::new(exchange))
     }
@@ -333,6 +350,10 @@
     /// An attempt ended.
     pub fn ended(&self, request: RequestId, attempt: Attempt, ended: Ended) {
         let mut verdict = ended.verdict;
+        if ended.unusable {
+            // No other server could use it either, and none is to blame.
+            self.answer(request, Opening::Unusable);
+        }
         let settled = {
             let mut all = self.open.borrow_mut();
             let Some(open) = all.get_mut(&request) else { return };
@@ -383,7 +404,14 @@
         if let Some(open) = self.open.borrow_mut().get_mut(&id).filter(|open| !open.answered) {
             open.answered = true;
             open.exchange.open(opening);
-            self.done(open, if opening == Opening::Failed { "failed" } else { "refused" });
+            self.done(
+                open,
+                match opening {
+                    Opening::Failed => "failed",
+                    Opening::Unusable => "unusable",
+                    _ => "refused",
+                },
+            );
         }
     }
 
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -39,6 +39,8 @@
     pub target: String,
     /// The request's body.
     pub body: Bytes,
+    /// What goes when the request does: its part of what all may take.
+    pub _held: Option<Box<dyn std::any::Any>>,
 }
 
 /// How an answer begins.
@@ -50,6 +52,8 @@
     Refused(Option<Duration>),
     /// Failed, with no word on its effect.
     Failed,
+    /// Failed, since no server can use what the client sent.
+    Unusable,
 }
 
 /// The stream ended before its end.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -81,7 +81,7 @@
     }
     let listener =
         TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
-    let shared = Shared::new(core.clone(), config.client_sockets);
+    let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes);
     let listen = listener.local_addr().map_err(io("the listener".to_owned()))?;
     actix_rt::spawn(clients::serve(listener, shared.clone(), platform::front));
     if let Some(told) = config.openai {
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -1,6 +1,7 @@
 //! Servers: sends attempts, says how they ended by the protocol's table, reads load reports and releases what
 //! is held. Takes no decision. Nothing is ever sent twice: a connection that fails ends its attempt.
 
+mod frames;
 mod link;
 
 use crate::core::{Core, Ended, Order, Server};
@@ -12,7 +13,7 @@
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::CONTENT_TYPE;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
 use link::{Lane, Pool};
 use serde::Deserialize;
@@ -77,33 +78,93 @@
     Some(Report { memory_share: wire.x0 }).filter(|report| report.memory_share.is_finite())
 }
 
-/// What a stream tells in its last events.
+/// An event that has not ended after so many bytes is none.
+const LARGEST_EVENT: usize = 64 * 1024;
+/// After the final event the last chunk comes in this time.
+const LAST_CHUNK: Duration = Duration::from_secs(1);
+/// A client that takes nothing of its answer for so long has left, whatever its connection says.
+const SLOW_CLIENT: Duration = Duration::from_secs(10);
+
+/// Holds a stream back until its events are whole and can be read, and notes what its last ones tell. Guards
+/// against handing on what no server made.
 #[derive(Default)]
 struct Tail {
-    lines: sse::Lines,
+    /// The event that has not ended.
+    held: BytesMut,
+    /// Its lines up to here have been looked at.
+    seen: usize,
     done: bool,
-    garbage: bool,
     kept: Option<f64>,
     report: Option<Report>,
 }
 
+/// A line that no event stream has.
+struct Garbage;
+
 impl Tail {
-    fn feed(&mut self, piece: &[u8]) {
-        let Tail { lines, done, garbage, kept, report: told } = self;
-        lines.feed(piece, |line| {
-            if let Some(data) = sse::field(line, "data") {
-                *done |= data == b"[DONE]";
-                *garbage |= data != b"[DONE]" && serde_json::from_slice::<IgnoredAny>(data).is_err();
-                if data.windows(14).any(|part| part == b"\"cached_tokens") {
-                    *kept = cached(data).or(*kept);
-                }
-            } else if let Some(text) = sse::field(line, ": X-Load-Report") {
-                *told = report(text);
+    /// The events that this piece makes whole, as they came.
+    fn feed(&mut self, piece: &[u8]) -> Result<Bytes, Garbage> {
+        self.held.extend_from_slice(piece);
+        let mut whole = 0;
+        while let Some(end) = self.held[self.seen..].iter().position(|byte| *byte == b'\n') {
+            let end = self.seen + end + 1;
+            let line = self.held[self.seen..end].trim_ascii();
+            if line.is_empty() {
+                whole = end;
             }
-        });
+            let Line { done, kept, report } = line_of(line)?;
+            self.done |= done;
+            self.kept = kept.or(self.kept);
+            self.report = report.or(self.report);
+            self.seen = end;
+        }
+        if self.held.len() - whole > LARGEST_EVENT {
+            return Err(Garbage);
+        }
+        self.seen -= whole;
+        Ok(self.held.split_to(whole).freeze())
+    }
+
+    /// What is left when the stream has ended: lines that no empty one follows.
+    fn rest(&mut self) -> Result<Bytes, Garbage> {
+        if self.seen < self.held.len() {
+            return Err(Garbage);
+        }
+        self.seen = 0;
+        Ok(self.held.split().freeze())
     }
 }
 
+/// What a line tells.
+#[derive(Default)]
+struct Line {
+    done: bool,
+    kept: Option<f64>,
+    report: Option<Report>,
+}
+
+fn line_of(line: &[u8]) -> Result<Line, Garbage> {
+    let mut told = Line::default();
+    if let Some(data) = sse::field(line, "data") {
+        told.done = data == b"[DONE]";
+        if !told.done && (data.first() != Some(&b'{') || serde_json::from_slice::<IgnoredAny>(data).is_err())
+        {
+            return Err(Garbage);
+        }
+        if data.windows(14).any(|part| part == b"\"cached_tokens") {
+            told.kept = cached(data);
+        }
+    } else if line.first() == Some(&b':') {
+        // A comment; a report that cannot be read is none, and its stream a good one.
+        told.report = sse::field(line, ": X-Load-Report").and_then(report);
+    } else if !line.is_empty()
+        && !["event", "id", "retry"].iter().any(|name| sse::field(line, name).is_some())
+    {
+        return Err(Garbage);
+    }
+    Ok(told)
+}
+
 /// Prompt tokens found kept, as the last events of a stream report them.
 fn cached(data: &[u8]) -> Option<f64> {
     let value: serde_json::Value = serde_json::from_slice(data).ok()?;
@@ -112,7 +173,14 @@
 
 /// One attempt from its send to its end.
 async fn run(core: &Core, pool: &Rc<Pool>, mut order: Order) -> Ended {
-    let ended = |verdict, written, reason| Ended { verdict, kept: None, report: None, written, reason };
+    let ended = |verdict, written, reason| Ended {
+        verdict,
+        kept: None,
+        report: None,
+        written,
+        reason,
+        unusable: false,
+    };
     let Some(lane) = pool.take(&order.server) else {
         return ended(Verdict::Moot, false, "no-sockets");
     };
@@ -145,7 +213,10 @@
     let mut answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
-            let (verdict, reason) = failed(&error, lane.written(), lane.refused());
+            let (verdict, reason) = match lane.spoilt() {
+                Some(spoilt) => (Verdict::Error, spoilt),
+                None => failed(&error, lane.written(), lane.refused()),
+            };
             lane.closing(reason);
             return ended(verdict, lane.written(), reason);
         }
@@ -169,6 +240,8 @@
             (Verdict::Full, "rejected")
         }
         (status, _) if status.is_server_error() => (Verdict::Error, "server-error"),
+        // The server works; what it was sent is no use to it, nor to any other.
+        (status, _) if status.is_client_error() => (Verdict::Moot, "unusable"),
         _ => (Verdict::Error, "bad-answer"),
     };
     let body = small(&mut answer).await;
@@ -183,7 +256,7 @@
     let kept = body.filter(|_| verdict == Verdict::Read);
     let kept =
         kept.and_then(|body| serde_json::from_slice::<Kept>(&body).ok()).map(|kept| kept.cached_tokens);
-    Ended { verdict, kept, report: told, written: true, reason }
+    Ended { verdict, kept, report: told, written: true, reason, unusable: reason == "unusable" }
 }
 
 /// Has it run? The protocol's table, for attempts that got no answer's head.
@@ -240,9 +313,9 @@
         };
         match next {
             Some(Ok(bytes)) => {
-                tail.feed(&bytes);
-                if tail.garbage {
-                    break (Verdict::Error, "garbage");
+                let Ok(events) = tail.feed(&bytes) else { break (Verdict::Error, "garbage") };
+                if events.is_empty() {
+                    continue;
                 }
                 if !started {
                     if !core.started(order.request, order.attempt) {
@@ -250,26 +323,41 @@
                     }
                     started = true;
                 }
-                let pushed = tokio::select! {
-                    biased;
-                    _ = &mut order.stop => Err(Left),
-                    pushed = order.exchange.push(bytes) => pushed,
-                };
-                if pushed.is_err() {
-                    break (Verdict::Cancelled, "client-left");
+                if let Err(reason) = push(order, events).await {
+                    break (Verdict::Cancelled, reason);
                 }
-                limit = Instant::now() + STALL;
+                limit = Instant::now() + if tail.done { LAST_CHUNK } else { STALL };
             }
-            Some(Err(())) => break (Verdict::Reset, "stream-broken"),
+            Some(Err(())) => match lane.spoilt() {
+                Some(spoilt) => break (Verdict::Error, spoilt),
+                None => break (Verdict::Reset, "stream-broken"),
+            },
             None if lane.ended() => break (Verdict::Reset, "stream-broken"),
             None if !tail.done => break (Verdict::Reset, "no-final-event"),
-            None => break (Verdict::Ok, "whole"),
+            None => match tail.rest() {
+                Ok(rest) if rest.is_empty() => break (Verdict::Ok, "whole"),
+                Ok(rest) => match push(order, rest).await {
+                    Ok(()) => break (Verdict::Ok, "whole"),
+                    Err(reason) => break (Verdict::Cancelled, reason),
+                },
+                Err(Garbage) => break (Verdict::Error, "garbage"),
+            },
         }
     };
     if started {
         order.exchange.close(verdict == Verdict::Ok);
     }
-    Ended { verdict, kept: tail.kept, report: tail.report, written: true, reason }
+    Ended { verdict, kept: tail.kept, report: tail.report, written: true, reason, unusable: false }
+}
+
+/// Hands events to the client; waits while it is slow.
+async fn push(order: &mut Order, events: Bytes) -> Result<(), &'static str> {
+    tokio::select! {
+        biased;
+        _ = &mut order.stop => Err("client-left"),
+        pushed = order.exchange.push(events) => pushed.map_err(|Left| "client-left"),
+        () = actix_rt::time::sleep(SLOW_CLIENT) => Err("slow-client"),
+    }
 }
 
 /// Lets go of all that is held for a request: at the server that may hold it, and while that can't be heard at
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -1,6 +1,7 @@
 //! Connections to servers. Each is an awc client of its own with room for one connection, so that this side
 //! knows what awc alone would hide: which connection carries an attempt, and whether its last byte was written.
 
+use super::frames::{Frames, Spoilt};
 use crate::core::Server;
 use crate::log;
 use actix_http::body::{BodySize, MessageBody};
@@ -21,12 +22,18 @@
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{Sleep, sleep};
 
 /// Idle connections go after this part of the time after which servers close them: a close that crosses a
 /// request would be a reset, and the request lost.
 const IDLE_PART: f64 = 0.6;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
+/// A server writes a head or a chunk at once: one that began and is not whole by then never will be. Guards against
+/// waiting on a stream that can't go on, and against calling its server silent.
+const PART_TIME: Duration = Duration::from_millis(500);
+/// Read from a connection at once.
+const PIECE: usize = 8 * 1024;
 /// The first byte to a server that takes nothing new is written no later than this after the news.
 const LATEST_SEND: Duration = Duration::from_millis(350);
 
@@ -38,6 +45,8 @@
     begun: Cell<bool>,
     refused: Cell<bool>,
     ended: Cell<bool>,
+    extra: Cell<bool>,
+    spoilt: Cell<Option<Spoilt>>,
     code: Cell<&'static str>,
     server: RefCell<Option<Rc<Server>>>,
 }
@@ -66,12 +75,37 @@
     }
 }
 
-/// A connection that notes what passes over it. awc flushes once a request's last byte was written.
+/// A connection that notes what passes over it, and hands on only answers that can be read. awc flushes once a
+/// request's last byte was written.
 pub struct Wire {
     stream: TcpStream,
     address: SocketAddr,
     meter: Rc<Meter>,
     open: Rc<Cell<usize>>,
+    frames: Frames,
+    /// Checked bytes that wait for awc.
+    checked: Vec<u8>,
+    taken: usize,
+    part: Option<Pin<Box<Sleep>>>,
+}
+
+impl Wire {
+    /// The answer cannot be read any further.
+    fn spoilt<T>(&self, spoilt: Spoilt) -> Poll<io::Result<T>> {
+        self.meter.spoilt.set(Some(spoilt));
+        Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, spoilt)))
+    }
+
+    /// Hands checked bytes on.
+    fn hand_on(&mut self, buf: &mut ReadBuf<'_>) {
+        let size = buf.remaining().min(self.checked.len() - self.taken);
+        buf.put_slice(&self.checked[self.taken..self.taken + size]);
+        self.taken += size;
+        if self.taken == self.checked.len() {
+            self.checked.clear();
+            self.taken = 0;
+        }
+    }
 }
 
 impl std::fmt::Debug for Wire {
@@ -91,12 +125,41 @@
 impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        let before = buf.filled().len();
-        let read = Pin::new(&mut this.stream).poll_read(cx, buf);
-        if matches!(read, Poll::Ready(Ok(()))) && buf.filled().len() == before {
-            this.meter.ended.set(true);
+        while this.checked.is_empty() {
+            if let Some(spoilt) = this.meter.spoilt.get() {
+                return this.spoilt(spoilt);
+            }
+            let mut piece = [0; PIECE];
+            let mut piece = ReadBuf::new(&mut piece);
+            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => {
+                    let late = this.part.as_mut().is_some_and(|part| part.as_mut().poll(cx).is_ready());
+                    return if late { this.spoilt(Spoilt::CutShort) } else { Poll::Pending };
+                }
+            }
+            if piece.filled().is_empty() {
+                this.meter.ended.set(true);
+                return Poll::Ready(Ok(()));
+            }
+            if !this.meter.begun.get() {
+                // Nothing was asked yet: it stands behind an earlier answer. To awc the connection has ended.
+                this.meter.extra.set(true);
+                return Poll::Ready(Ok(()));
+            }
+            if let Err(spoilt) = this.frames.feed(piece.filled(), &mut this.checked) {
+                this.meter.spoilt.set(Some(spoilt));
+            }
+            this.meter.extra.set(this.frames.extra);
+            if !this.frames.partial() {
+                this.part = None;
+            } else if this.part.is_none() || !this.checked.is_empty() {
+                this.part = Some(Box::pin(sleep(PART_TIME)));
+            }
         }
-        read
+        this.hand_on(buf);
+        Poll::Ready(Ok(()))
     }
 }
 
@@ -113,8 +176,8 @@
             }
         }
         let wrote = Pin::new(&mut this.stream).poll_write(cx, buf);
-        if matches!(wrote, Poll::Ready(Ok(_))) {
-            this.meter.begun.set(true);
+        if matches!(wrote, Poll::Ready(Ok(_))) && !this.meter.begun.replace(true) {
+            this.frames = Frames::new();
         }
         wrote
     }
@@ -164,7 +227,9 @@
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             open.set(open.get() + 1);
             meter.ended.set(false);
-            Ok(Connection::new(info.request().clone(), Wire { stream, address, meter, open }))
+            let (frames, checked) = (Frames::new(), Vec::new());
+            let wire = Wire { stream, address, meter, open, frames, checked, taken: 0, part: None };
+            Ok(Connection::new(info.request().clone(), wire))
         })
     }
 }
@@ -190,9 +255,10 @@
     /// Prepares for a request that counts as none.
     pub fn unwatched(&self) {
         let meter = &self.meter;
-        for flag in [&meter.body_done, &meter.written, &meter.begun, &meter.refused, &meter.ended] {
-            flag.set(false);
-        }
+        let flags =
+            [&meter.body_done, &meter.written, &meter.begun, &meter.refused, &meter.ended, &meter.extra];
+        flags.into_iter().for_each(|flag| flag.set(false));
+        meter.spoilt.set(None);
         meter.code.set("");
         *meter.server.borrow_mut() = None;
     }
@@ -212,6 +278,15 @@
         self.meter.ended.get()
     }
 
+    /// Its answer cannot be read.
+    pub fn spoilt(&self) -> Option<&'static str> {
+        self.meter.spoilt.get().map(|spoilt| match spoilt {
+            Spoilt::Head => "bad-head",
+            Spoilt::Chunk => "bad-chunk",
+            Spoilt::CutShort => "cut-short",
+        })
+    }
+
     /// Says for the log why the connection is about to end.
     pub fn closing(&self, code: &'static str) {
         self.meter.code.set(code);
@@ -265,8 +340,15 @@
         Some(Lane { client, address, meter, idle_since: Instant::now() })
     }
 
-    /// Puts a lane back whose connection is free again.
+    /// Puts a lane back whose connection is free again. One on which more came than its answer is closed: what
+    /// stands there would be taken for the next answer.
     pub fn give(&self, mut lane: Lane) {
+        if lane.meter.extra.get() {
+            return lane.closing("unread-bytes");
+        }
+        if lane.meter.server.borrow().as_ref().is_some_and(|server| server.told.get().is_some()) {
+            return lane.closing("server-left");
+        }
         lane.idle_since = Instant::now();
         lane.closing("server-closed");
         self.idle.borrow_mut().entry(lane.address).or_default().push(lane);
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -70,6 +70,7 @@
     peers: HashMap<String, Peer>,
     clients: HashMap<String, String>,
     folder: PathBuf,
+    within: Option<Instant>,
 }
 
 impl Stage {
@@ -79,7 +80,7 @@
         let listen = |name: &str| (name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
         let listeners = ["d", "e", "r1", "r2", "w1", "w2"].map(listen).into();
         let (peers, clients) = (HashMap::new(), HashMap::new());
-        Stage { program: None, log: None, lines: Vec::new(), listeners, peers, clients, folder }
+        Stage { program: None, log: None, lines: Vec::new(), listeners, peers, clients, folder, within: None }
     }
 
     /// Fills in the addresses of servers.
@@ -168,6 +169,11 @@
         self.peers.get_mut(name).unwrap()
     }
 
+    /// Until when a step waits.
+    fn until(&self) -> Instant {
+        self.within.unwrap_or_else(|| Instant::now() + PATIENCE)
+    }
+
     fn step(&mut self, verb: &str, rest: &str, body: &str) {
         match verb {
             "start" => self.start(rest, body),
@@ -236,8 +242,31 @@
                 }
             }
             "half" => self.peer(rest).stream.shutdown(Shutdown::Write).unwrap(),
+            // What the next steps wait for comes in this time.
+            "within" => {
+                self.within = Some(Instant::now() + Duration::from_millis(rest.parse().unwrap()));
+            }
+            // So many connections that say nothing.
+            "crowd" => {
+                let (name, count) = rest.split_once(' ').unwrap();
+                for n in 1..=count.parse().unwrap() {
+                    self.peer(&format!("{name}{n}"));
+                }
+            }
+            // So many bytes, while what comes back is read.
+            "flood" => {
+                let (name, count) = rest.split_once(' ').unwrap();
+                let (peer, piece) = (self.peer(name), [b'x'; 4096]);
+                let mut left: usize = count.parse().unwrap();
+                while left > 0 {
+                    match peer.stream.write(&piece[..left.min(piece.len())]) {
+                        Ok(size) => left -= size,
+                        Err(_) => break,
+                    }
+                }
+            }
             "end" => {
-                let until = Instant::now() + PATIENCE;
+                let until = self.until();
                 let peer = self.peer(rest);
                 while peer.read() {
                     assert!(Instant::now() < until, "{rest}: the connection stays open");
@@ -247,7 +276,7 @@
                 self.peers.remove(rest);
             }
             "get" => {
-                let until = Instant::now() + PATIENCE;
+                let until = self.until();
                 let wanted = sorted(body).unwrap_or_else(|| body.to_owned());
                 let peer = self.peer(rest);
                 loop {
@@ -285,7 +314,7 @@
 fn bytes(line: &str) -> String {
     let escaped = |text: &str| {
         // `<<text>>` is text in base64.
-        let mut text = text.replace("\\n", "\n");
+        let mut text = text.replace("\\n", "\n").replace("{cr}", "\r");
         while let Some((before, (plain, after))) =
             text.split_once("<<").and_then(|(b, r)| Some((b, r.split_once(">>")?)))
         {
