Trust kept connections less while they break on use; end a silent stream after 4 s

The attempts' lines now tell how long their connection had been idle: the resets came at once, at ages from 3 ms to 3 s, over half of all that were used again. Ruled out: connections beyond the time of the settings (all under 9 s), and an end that awc's check could have seen.

servers/link.rs: after three such breaks of late, no connection is used that was idle for half as long as the one that broke; trust comes back by 4% each half second. A server's crash resets connections in use, which is not counted: only a break within 100 ms of the write is. STALL is 4 s.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -63,6 +63,23 @@
     pub reason: &'static str,
     /// The server works and says that it can't use the request.
     pub unusable: bool,
+    /// For how long its connection had been idle; none if it was new.
+    pub idle: Option<Duration>,
+}
+
+impl Ended {
+    /// It was never sent.
+    pub fn unsent(reason: &'static str) -> Self {
+        Ended {
+            verdict: Verdict::Moot,
+            kept: None,
+            report: None,
+            written: false,
+            reason,
+            unusable: false,
+            idle: None,
+        }
+    }
 }
 
 /// The servers' side.
@@ -383,13 +400,14 @@
             }
             if verdict != Verdict::Ok && verdict != Verdict::Read {
                 log!(
-                    "attempt id={} try={} server={} role={} verdict={:?} reason={}",
+                    "attempt id={} try={} server={} role={} verdict={:?} reason={} idle_ms={}",
                     open.exchange.call.label,
                     attempt.0,
                     server.label,
                     if reads { "reader" } else { "writer" },
                     verdict,
-                    ended.reason
+                    ended.reason,
+                    ended.idle.map_or_else(|| "-".to_owned(), |idle| idle.as_millis().to_string())
                 );
             }
             open.answered
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -27,8 +27,11 @@
 /// A body that is no stream is read up to this size and for this long, so that its connection can be used again.
 const SMALL_BODY: usize = 16 * 1024;
 const SMALL_BODY_TIME: Duration = Duration::from_millis(100);
-/// A stream that says nothing for so long has a dead server: nothing else ends it when a machine vanishes.
-const STALL: Duration = Duration::from_secs(20);
+/// A stream that says nothing for so long has a dead server: nothing else ends it when a machine vanishes, and its
+/// client must not be left waiting for 5 s.
+const STALL: Duration = Duration::from_secs(4);
+/// A connection that breaks in this time after it was used again was broken before.
+const AT_ONCE: Duration = Duration::from_millis(100);
 /// One try of a release, and how many there are: all together well under the time that a state may be held.
 const RELEASE_TRY: Duration = Duration::from_millis(120);
 const RELEASE_TRIES: usize = 5;
@@ -53,7 +56,17 @@
         let (core, pool) = (self.core.clone(), self.pool.clone());
         actix_rt::spawn(async move {
             let (request, attempt) = (order.request, order.attempt);
-            let ended = run(&core, &pool, order).await;
+            let Some(lane) = pool.take(&order.server) else {
+                return core.ended(request, attempt, Ended::unsent("no-sockets"));
+            };
+            let idle = lane.idle();
+            let sent = Instant::now();
+            let ended = Ended { idle, ..run(&core, &pool, order, lane).await };
+            if let (Some(idle), "reset") = (idle, ended.reason)
+                && sent.elapsed() < AT_ONCE
+            {
+                pool.distrust(idle);
+            }
             core.ended(request, attempt, ended);
         });
     }
@@ -172,7 +185,7 @@
 }
 
 /// One attempt from its send to its end.
-async fn run(core: &Core, pool: &Rc<Pool>, mut order: Order) -> Ended {
+async fn run(core: &Core, pool: &Rc<Pool>, mut order: Order, lane: Lane) -> Ended {
     let ended = |verdict, written, reason| Ended {
         verdict,
         kept: None,
@@ -180,9 +193,7 @@
         written,
         reason,
         unusable: false,
-    };
-    let Some(lane) = pool.take(&order.server) else {
-        return ended(Verdict::Moot, false, "no-sockets");
+        idle: None,
     };
     let call = &order.exchange.call;
     let body = lane.watch(order.server.clone(), call.body.clone());
@@ -256,7 +267,7 @@
     let kept = body.filter(|_| verdict == Verdict::Read);
     let kept =
         kept.and_then(|body| serde_json::from_slice::<Kept>(&body).ok()).map(|kept| kept.cached_tokens);
-    Ended { verdict, kept, report: told, written: true, reason, unusable: reason == "unusable" }
+    Ended { verdict, kept, report: told, written: true, reason, unusable: reason == "unusable", idle: None }
 }
 
 /// A head that cannot be read: a writer's would have begun the answer, while what a reader read may wait there.
@@ -352,7 +363,15 @@
     if started {
         order.exchange.close(verdict == Verdict::Ok);
     }
-    Ended { verdict, kept: tail.kept, report: tail.report, written: true, reason, unusable: false }
+    Ended {
+        verdict,
+        kept: tail.kept,
+        report: tail.report,
+        written: true,
+        reason,
+        unusable: false,
+        idle: None,
+    }
 }
 
 /// Hands events to the client; waits while it is slow.
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -27,6 +27,14 @@
 /// Idle connections go after this part of the time after which servers close them: a close that crosses a
 /// request would be a reset, and the request lost.
 const IDLE_PART: f64 = 0.6;
+/// So many connections that broke at once when they were used again, of late, and none is used again that was idle
+/// for half as long as one that broke. Guards against a way on which kept connections die unseen: what may not be
+/// sent twice is lost on each.
+const STRIKES: f64 = 3.0;
+/// What is left of a strike, and how much longer connections are trusted again, each time they are looked at.
+const FORGIVE: f64 = 0.95;
+const TRUST_MORE: f64 = 1.04;
+const LEAST_TRUST: Duration = Duration::from_millis(1);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(500);
 /// A server writes a head or a chunk at once: one that began and is not whole by then never will be. Guards against
@@ -241,6 +249,7 @@
     address: SocketAddr,
     meter: Rc<Meter>,
     idle_since: Instant,
+    used: bool,
 }
 
 impl Lane {
@@ -263,6 +272,11 @@
         *meter.server.borrow_mut() = None;
     }
 
+    /// For how long it has been idle; none if its connection is yet to be opened.
+    pub fn idle(&self) -> Option<Duration> {
+        self.used.then(|| self.idle_since.elapsed())
+    }
+
     /// The request's last byte was written.
     pub fn written(&self) -> bool {
         self.meter.written.get()
@@ -293,29 +307,43 @@
     }
 }
 
+fn longest_idle(links: Links) -> Duration {
+    Duration::from_nanos(links.idle.0).mul_f64(IDLE_PART)
+}
+
 /// All connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Lane>>>,
     open: Rc<Cell<usize>>,
     most: usize,
     links: Links,
+    strikes: Cell<f64>,
+    trust: Cell<Duration>,
 }
 
 impl Pool {
     /// With so many connections at most.
     pub fn new(links: Links, most: usize) -> Rc<Self> {
-        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, links })
+        let (strikes, trust) = (Cell::new(0.0), Cell::new(longest_idle(links)));
+        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, links, strikes, trust })
     }
 
-    fn longest_idle(&self) -> Duration {
-        Duration::from_nanos(self.links.idle.0).mul_f64(IDLE_PART)
+    /// A connection broke at once when it was used again after so long.
+    pub fn distrust(&self, idle: Duration) {
+        self.strikes.set(self.strikes.get() + 1.0);
+        if self.strikes.get() >= STRIKES {
+            self.trust.set(self.trust.get().min(idle / 2).max(LEAST_TRUST));
+        }
     }
 
     /// A lane to this server: the one used last, or a new one. None if all connections are taken.
     pub fn take(&self, server: &Server) -> Option<Lane> {
         let mut idle = self.idle.borrow_mut();
         if let Some(lane) = idle.get_mut(&server.address).and_then(Vec::pop) {
-            return Some(lane);
+            if lane.idle_since.elapsed() <= self.trust.get() {
+                return Some(lane);
+            }
+            lane.closing("idle");
         }
         if self.open.get() >= self.most {
             let oldest = idle.values_mut().filter(|lanes| !lanes.is_empty());
@@ -328,7 +356,7 @@
             .connector(dial)
             .limit(1)
             .timeout(Duration::from_nanos(self.links.connect.0))
-            .conn_keep_alive(self.longest_idle())
+            .conn_keep_alive(longest_idle(self.links))
             .conn_lifetime(Duration::from_secs(24 * 3_600))
             .disconnect_timeout(Duration::from_millis(1));
         let client = awc::Client::builder()
@@ -337,7 +365,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Some(Lane { client, address, meter, idle_since: Instant::now() })
+        Some(Lane { client, address, meter, idle_since: Instant::now(), used: false })
     }
 
     /// Puts a lane back whose connection is free again. One on which more came than its answer is closed: what
@@ -349,7 +377,7 @@
         if lane.meter.server.borrow().as_ref().is_some_and(|server| server.told.get().is_some()) {
             return lane.closing("server-left");
         }
-        lane.idle_since = Instant::now();
+        (lane.idle_since, lane.used) = (Instant::now(), true);
         lane.closing("server-closed");
         self.idle.borrow_mut().entry(lane.address).or_default().push(lane);
     }
@@ -366,7 +394,9 @@
         actix_rt::spawn(async move {
             loop {
                 actix_rt::time::sleep(SWEEP).await;
-                let longest = self.longest_idle();
+                self.strikes.set(self.strikes.get() * FORGIVE);
+                let longest = longest_idle(self.links).min(self.trust.get().mul_f64(TRUST_MORE));
+                self.trust.set(longest);
                 let mut idle = self.idle.borrow_mut();
                 for lanes in idle.values_mut() {
                     let stale = lanes.partition_point(|lane| lane.idle_since.elapsed() > longest);
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -156,7 +156,18 @@
         if !self.peers.contains_key(name) {
             let server = name.split('.').next().unwrap();
             let peer = if let Some(listener) = self.listeners.get(server) {
-                Peer::new(listener.accept().unwrap().0)
+                listener.set_nonblocking(true).unwrap();
+                let until = Instant::now() + PATIENCE;
+                let stream = loop {
+                    match listener.accept() {
+                        Ok((stream, _)) => break stream,
+                        Err(_) if Instant::now() < until => std::thread::sleep(Duration::from_millis(2)),
+                        Err(error) => panic!("{name}: no connection: {error}"),
+                    }
+                };
+                listener.set_nonblocking(false).unwrap();
+                stream.set_nonblocking(false).unwrap();
+                Peer::new(stream)
             } else {
                 let front = if name.starts_with('o') { "openai listen=" } else { "started {*}listen=" };
                 let line = self.wait_log(front);
