Call off requests that several later ones overtook at their server

Ruled out: a lost wake-up (the time-outs stay on two of four readers). The servers lose single requests. src/logic.rs, `find_silent`, gave up on an attempt only if its server had said nothing since (`heard < job.sent`), so each waited for its deadline.

A server takes requests in turn: one that 3 later ones overtook, after 12 times the usual, is called off and, where it may be, tried elsewhere; its server stays in use, since it answers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,6 +59,8 @@
 const PATIENCE: f64 = 12.0;
 /// ... but never before this share of the aim has passed.
 const PATIENCE_AIM: f64 = 2.0;
+/// So many later requests of ours that a server answered first say that it lost one: it takes them in turn.
+const OVERTAKEN: u32 = 3;
 /// Reads out at one silent reader share the patience, so many at most.
 const SURE: u32 = 2;
 /// Patience doubles for each part of the peers that is out already; this is how many parts make the whole.
@@ -153,6 +155,8 @@
     believed: f64,
     /// Time the attempt may take before it counts as late.
     patience: Span,
+    /// Requests that were sent to the same server later and answered before.
+    overtaken: u32,
 }
 
 #[derive(Default)]
@@ -636,6 +640,7 @@
         let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
         job.patience = usual.max(job.aim.times(PATIENCE_AIM));
+        job.overtaken = 0;
         (job.stage, job.at, job.sent) = (stage, Some(to), self.now);
         job.attempts += 1;
         job.cancelled = false;
@@ -707,6 +712,10 @@
         server.out_span = FIRST_OUT;
         server.out_until = server.out_until.min(self.now);
         let late = took > job.aim.times(LATE);
+        let sent = job.sent;
+        let waits =
+            |job: &&mut Job| matches!(job.stage, Stage::Reading | Stage::Writing) && job.at == Some(at);
+        self.jobs.values_mut().filter(waits).filter(|job| job.sent < sent).for_each(|job| job.overtaken += 1);
         self.adapt(id, at, late);
     }
 
@@ -860,7 +869,8 @@
 
     /// Silence: a server owes an answer for longer than its peers take, and said nothing since. It is shut
     /// out, and what may be repeated is called off. One that still answers others is waited for: a cancel
-    /// stops no running work, so trying elsewhere would only double the load. Guards against hung, dead or
+    /// stops no running work, so trying elsewhere would only double the load; but what several later requests
+    /// have overtaken there is lost, and called off too. Guards against hung, dead or
     /// cut-off servers; a lone very long read can look like silence, which costs that read.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
         let mut silent = Vec::new();
@@ -873,14 +883,21 @@
         for (id, job) in &mut self.jobs {
             let out_there = matches!(job.stage, Stage::Reading | Stage::Writing);
             let Some(at) = job.at.filter(|_| out_there) else { continue };
-            let Some(server) = self.servers.get(&at).filter(|s| s.heard < job.sent) else { continue };
+            let Some(server) = self.servers.get(&at) else { continue };
+            let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
+            let lost = job.overtaken >= OVERTAKEN && self.now - job.sent > usual;
+            if server.heard >= job.sent && !lost {
+                continue;
+            }
             // Several silent reads say more than one; streams at a writer say nothing of it.
             let silent_reads = if server.role == Role::Reader { server.attempts.clamp(1, SURE) } else { 1 };
             let patience = job.patience.times(doubt[server.role as usize] / f64::from(silent_reads));
-            if self.now - job.sent <= patience {
+            if self.now - job.sent <= patience && !lost {
                 continue;
             }
-            silent.push(at);
+            if server.heard < job.sent {
+                silent.push(at);
+            }
             let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
             if (safe || job.stage == Stage::Reading) && self.settings.may_cancel && !job.cancelled {
                 job.cancelled = true;
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -27,6 +27,40 @@
     assert_eq!(serve(&mut bench, 2, Some(5), 5), Some(next), "the home is shut out");
 }
 
+/// A server that loses single requests and answers all others must not keep them until their deadlines.
+#[test]
+fn a_request_that_later_ones_overtook_is_called_off() {
+    let mut bench = Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0)]);
+    // Usual times are known.
+    for id in 1..6 {
+        serve(&mut bench, id, Some(5), 10);
+    }
+    let lost = sent_to(&bench.ask(10, Some(5)));
+    let mut overtaken = 0;
+    let mut done = Vec::new();
+    for id in 20..60 {
+        done.extend(bench.wait(20));
+        let to = sent_to(&bench.ask(id, Some(5)));
+        bench.now += 10 * MS;
+        if to.is_empty() {
+            continue;
+        }
+        overtaken += u32::from(to == lost);
+        done.extend(bench.end(id, 0, Verdict::Read));
+        bench.first(id, 1);
+        bench.end(id, 1, Verdict::Ok);
+        if done.iter().any(|action| matches!(action, Action::Cancel { request: RequestId(10), .. })) {
+            break;
+        }
+    }
+    assert!(overtaken >= 3);
+    let cancel = Action::Cancel { request: RequestId(10), attempt: Attempt(0) };
+    assert!(done.contains(&cancel), "{done:?}");
+    // The reader stays in use: it answers.
+    bench.end(10, 0, Verdict::Cancelled);
+    assert_eq!(sent_to(&bench.ask(100, Some(5))), vec![1]);
+}
+
 #[test]
 fn a_slow_but_talking_reader_is_waited_for() {
     let mut bench = Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0)]);
