End idle connections when no descriptor is left, rather than only wait

Eviction acted at the router's own cap alone, which the system's limit can be under. Now eight connections without a request end at each failed accept.

Test: no_descriptors.txt (`ulimit:70`, 120 silent connections, then one that asks): fails without the eviction.

--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -27,7 +27,9 @@
 const FRESH: Duration = Duration::from_millis(150);
 /// Connections beyond the limit that are told so, rather than just closed.
 const MOST_TURNED_AWAY: usize = 16;
-/// A wait when the system has no descriptor left: others must end first.
+/// When the system has no descriptor left, so many connections end, and accepting waits for them: it neither spins
+/// nor stops.
+const EVICTED_AT_ONCE: usize = 8;
 const NO_DESCRIPTORS: Duration = Duration::from_millis(20);
 
 const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -85,10 +87,12 @@
     /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
     /// start, else longest without a request. False if all have requests under way.
     fn make_room(&self) -> bool {
+        self.open() < self.most || self.evict()
+    }
+
+    /// Ends one connection without a request under way. False if there is none.
+    fn evict(&self) -> bool {
         let conns = self.conns.borrow();
-        if conns.len() < self.most {
-            return true;
-        }
         let rank = |conn: &&Rc<Conn>| {
             let fresh = conn.since.get().elapsed() < FRESH;
             let rank = match (conn.requests.get(), fresh) {
@@ -197,6 +201,7 @@
             }
             Err(error) => {
                 log!("accept failed error=\"{error}\"");
+                let _ = (0..EVICTED_AT_ONCE).all(|_| shared.evict());
                 actix_rt::time::sleep(NO_DESCRIPTORS).await;
             }
         }
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -112,21 +112,25 @@
         std::fs::write(&keys, std::fs::read_to_string(&openai).unwrap() + key).unwrap();
         let etcd = self.folder.join("etcd.toml");
         std::fs::write(&etcd, self.filled("endpoint = \"{d}\"\nprefix = \"/s/\"\n")).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
+        // `ulimit:N` among the arguments gives the program so many descriptors.
+        let few = arguments.split_whitespace().find_map(|argument| argument.strip_prefix("ulimit:"));
+        let mut command = Command::new("sh");
+        let limit = few.map_or_else(String::new, |few| format!("ulimit -n {few} && "));
+        command.args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_fawnstream")]);
         command
             .env_clear()
             .env("PROXY_CONFIG", config)
             .env("FAWNSTREAM_KEY", "open sesame")
             .stderr(Stdio::piped())
             .stdin(Stdio::null());
-        command.args(arguments.split_whitespace().filter(|argument| !argument.contains('=')).map(|word| {
-            match word {
+        command.args(arguments.split_whitespace().filter(|argument| !argument.contains(['=', ':'])).map(
+            |word| match word {
                 "FILE" => openai.clone().into_os_string(),
                 "KEYS" => keys.clone().into_os_string(),
                 "ETCD" => etcd.clone().into_os_string(),
                 _ => word.into(),
-            }
-        }));
+            },
+        ));
         let mut program = command.spawn().unwrap();
         let (told, log) = channel();
         let stderr = BufReader::new(program.stderr.take().unwrap());
