Count the reads that are out against their reader, beside its report

The requests' lines now tell when the first attempt was sent and when the read ended: of 146 late ones 144 lost their time in the read (median 122 ms, 95% under 1567 ms), none at the gate to speak of and none at the writer (95% under 91 ms). Checked: one reader held 5 or 6 of our reads while another had one; ruled out with a trace of each send: turns at cold servers (5 of 5 readers open in 1532 of 1982 sends), exclusion of servers (usable = listed), the gate (wait 0 at 95%).

What own reads still have to read there, in parts of the prompt, now counts too, with the weight BACKLOG.

Test: reads_that_are_out_count_beside_a_fresh_report; with weight 0 it fails (6 of 10 at one reader).

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -112,6 +112,9 @@
     reader: Option<Rc<Server>>,
     /// Where something may be held that has to be let go of once no attempt is out.
     owed: Option<Rc<Server>>,
+    /// How long it waited for its first attempt, and until its prompt was read.
+    sent: Option<Duration>,
+    read: Option<Duration>,
     /// How long its first event took.
     first: Option<Duration>,
     started: bool,
@@ -305,6 +308,8 @@
             current: None,
             reader: None,
             owed: None,
+            sent: None,
+            read: None,
             first: None,
             started: false,
             answered: false,
@@ -378,6 +383,7 @@
             let reads = server.role == Role::Reader;
             if verdict == Verdict::Read {
                 open.reader = Some(server.clone());
+                open.read = Some(open.exchange.call.arrived.elapsed());
             } else if reads && ended.written && verdict != Verdict::Full {
                 // The read may have ended well at the very moment its connection ended.
                 open.owed = Some(server.clone());
@@ -407,7 +413,7 @@
                     if reads { "reader" } else { "writer" },
                     verdict,
                     ended.reason,
-                    ended.idle.map_or_else(|| "-".to_owned(), |idle| idle.as_millis().to_string())
+                    ms(ended.idle)
                 );
             }
             open.answered
@@ -437,12 +443,14 @@
     fn done(&self, open: &Open, outcome: &str) {
         let call = &open.exchange.call;
         log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} ms={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={}",
             call.label,
             self.names.classes.get(call.class.0).map_or("-", |name| name),
             outcome,
             open.attempts,
-            open.first.map_or_else(|| "-".to_owned(), |first| first.as_millis().to_string()),
+            ms(open.first),
+            ms(open.sent),
+            ms(open.read),
             call.arrived.elapsed().as_millis()
         );
     }
@@ -565,6 +573,7 @@
         };
         let (stop, stopped) = oneshot::channel();
         open.current = Some((server.clone(), Some(stop)));
+        open.sent.get_or_insert_with(|| open.exchange.call.arrived.elapsed());
         let wait = timeout.map_or(open.deadline, |t| Instant::now() + Duration::from_nanos(t.0));
         let order = Order {
             exchange: open.exchange.clone(),
@@ -587,6 +596,11 @@
     }
 }
 
+/// A time that may be none, for the log.
+fn ms(time: Option<Duration>) -> String {
+    time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
+}
+
 fn tell(server: &Server, now: Instant) {
     if server.told.get().is_none() {
         server.told.set(Some(now));
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -84,6 +84,9 @@
 const COLD_LEAST: f64 = 3.0;
 /// A turn at a cold server stays open for so many turns of others, or as long as a server takes to fall over.
 const TURNS_OPEN: f64 = 3.0;
+/// How heavily what our reads still have to read at a reader weighs, in parts of the prompt: no report knows
+/// of it yet. Guards against piling reads up at one; more would read too much anew under overload.
+const BACKLOG: f64 = 0.3;
 /// A report loses half its weight in this time.
 const REPORT_HALF: Span = Span::from_millis(2_000);
 /// Probes of one server are this far apart: reports are not refreshed much faster.
@@ -109,6 +112,8 @@
     attempts: u32,
     /// What this router has out here, in the units of its limit.
     used: f64,
+    /// Tokens of our reads out here that are not believed to be kept.
+    unread: f64,
     /// Reported share of memory, and when it came.
     report: Option<(f64, Time)>,
     probe_at: Time,
@@ -153,6 +158,8 @@
     cancelled: bool,
     /// Kept tokens believed there by own sends, without the credit of a home.
     believed: f64,
+    /// Tokens that a read has to read, so far as is believed.
+    unread: f64,
     /// Time the attempt may take before it counts as late.
     patience: Span,
     /// Requests that were sent to the same server later and answered before.
@@ -348,7 +355,7 @@
         // New, or a restarted process, which has forgotten its texts: what was thought of it is void.
         let mut server = Server::new(entry, kind);
         if let Some(old) = self.servers.get(&entry.server) {
-            (server.attempts, server.used) = (old.attempts, old.used);
+            (server.attempts, server.used, server.unread) = (old.attempts, old.used, old.unread);
             server.heard = self.now;
         }
         self.servers.insert(entry.server, server);
@@ -494,7 +501,8 @@
             let match_ =
                 server.believed(&job.ask, self.now, homes.contains(id)) / job.ask.prompt_len.max(1.0);
             let tie = 1e-3 * fraction(session ^ mix(id.0));
-            (*id, match_ - load - FAULT_WEIGHT * server.fault(self.now) + tie)
+            let queued = server.unread * BACKLOG / job.ask.prompt_len.max(1.0);
+            (*id, match_ - load - queued - FAULT_WEIGHT * server.fault(self.now) + tie)
         };
         let (id, _) = best(among.iter().map(score))?;
         Some((id, self.servers[&id].believed(&job.ask, self.now, homes.contains(&id))))
@@ -647,6 +655,8 @@
         job.believed = server.believed(&job.ask, self.now, false);
         server.attempts += 1;
         server.used += unit(server.role, &job.ask);
+        job.unread = if stage == Stage::Reading { (job.ask.prompt_len - job.believed).max(0.0) } else { 0.0 };
+        server.unread += job.unread;
         server.turns_used = turns;
         if stage == Stage::Reading {
             job.reader = Some(to);
@@ -747,6 +757,7 @@
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get_mut(&at)) else { return false };
         server.attempts = server.attempts.saturating_sub(1);
         server.used = (server.used - unit(server.role, &job.ask)).max(0.0);
+        server.unread = (server.unread - job.unread).max(0.0);
         server.role == Role::Reader
     }
 
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -232,6 +232,27 @@
     assert_eq!(sent_to(&bench.end(2, 0, Verdict::Read)), vec![home + 10, home], "and takes the next place");
 }
 
+/// A report says nothing of what was sent since: with both readers just heard, the reads that are out must count,
+/// or chance piles them up at one.
+#[test]
+fn reads_that_are_out_count_beside_a_fresh_report() {
+    let mut bench = Bench::new(settings(Effect::Safe), fleet());
+    for id in [1, 2] {
+        bench.ask(id, None);
+        bench.hear(Event::Outcome(Outcome {
+            request: RequestId(id),
+            attempt: Attempt(0),
+            verdict: Verdict::Read,
+            settled: false,
+            kept: None,
+            report: Some(Report { memory_share: 0.1 }),
+        }));
+    }
+    let places: Vec<u64> = (10..20).flat_map(|id| sent_to(&bench.ask(id, None))).collect();
+    let first = places.iter().filter(|place| **place == 1).count();
+    assert_eq!((first, places.len()), (5, 10), "{places:?}");
+}
+
 #[test]
 fn a_hot_beginning_spreads_as_load_demands() {
     let mut bench = Bench::new(settings(Effect::Safe), fleet());
