Tell what a head gets wrong before its body, and end clients that take nothing

Now the length, then the head, then the body. - Measured with early_head.txt: after an early error on a chunked body actix-http 3.20 reads that body to its end before it closes (dispatcher, `payload_drainable`), so the 4xx was out but its connection stayed, 2.4 s in the recording. The stream underneath (conn.rs, `Over`) now ends its reading once the last answer is out; the rest is the door's to drain. - Measured with slow_client.txt: a client that reads nothing of a long answer kept its place for good: actix-http asks for no more of an answer while bytes wait to be written, so it never heard that the stream had been given up (`slow-client` on the server's side after 10 s). conn.rs notes since when writes wait; the door ends it after 10 s. - The same recording showed a good answer called spoilt (`cut-short`): while a slow client holds its writer back nobody reads, but the 0.5 s for a chunk went on (link.rs, `part`). They now run only while more is waited for. - An accept that fails because its client has gone evicts nobody.

Each guard was taken away and its recording seen to fail.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -67,12 +67,22 @@
     }
 }
 
+/// The answer to this request is the last one on its connection.
+pub fn last(request: &Request) {
+    if let Some(conn) = request.conn_data::<Rc<Conn>>() {
+        conn.last();
+    }
+}
+
+/// Whether a request tells a length that no body may have.
+pub fn check_length(request: &Request) -> Result<(), Bad> {
+    let told = request.headers().get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    if told.is_some_and(|told: u64| told > LARGEST_BODY as u64) { Err(Bad::TooLarge) } else { Ok(()) }
+}
+
 /// Reads a request's body, up to the limit and within the time that is left to its client.
 pub async fn body(shared: &Shared, request: &mut Request) -> Result<Body, Bad> {
-    let told = request.headers().get(header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
-    if told.is_some_and(|told: u64| told > LARGEST_BODY as u64) {
-        return Err(Bad::TooLarge);
-    }
+    check_length(request)?;
     let conn = request.conn_data::<Rc<Conn>>().cloned();
     let due = conn.as_ref().and_then(|conn| conn.take_due());
     let mut held = shared.hold();
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -17,6 +17,8 @@
 pub const REQUEST_TIME: Duration = Duration::from_millis(2_400);
 /// A connection without a request is kept for this long after an answer.
 pub const KEEP: Duration = Duration::from_millis(2_300);
+/// A client that takes nothing of its answer for so long has left, whatever its connection says.
+pub const TAKES_NOTHING: Duration = Duration::from_secs(10);
 /// A head is no longer than this.
 const LARGEST_HEAD: usize = 32 * 1024;
 /// Read at one go; then what came is looked at first.
@@ -24,6 +26,14 @@
 /// What is read behind a request while its answer is under way.
 const AHEAD: usize = 16 * 1024;
 
+#[derive(Clone, Copy, Default, PartialEq)]
+enum Over {
+    #[default]
+    No,
+    Told,
+    Out,
+}
+
 /// What happened on a connection.
 pub struct Conn {
     /// Requests whose head came.
@@ -40,6 +50,10 @@
     pub leaving: Cell<bool>,
     /// The socket, once the server library has let go of it.
     pub socket: RefCell<Option<TcpStream>>,
+    /// Its last answer was an error after which nothing is read: out already, or about to be.
+    over: Cell<Over>,
+    /// Since when the client takes nothing of its answer.
+    stuck: Cell<Option<Instant>>,
     busy: Cell<u32>,
     /// By when the next request is whole.
     due: Cell<Option<Instant>>,
@@ -61,6 +75,8 @@
             evict: Notify::new(),
             leaving: Cell::new(false),
             socket: RefCell::default(),
+            over: Cell::default(),
+            stuck: Cell::new(None),
             busy: Cell::new(0),
             due: Cell::new(Some(now + REQUEST_TIME)),
             bytes: Cell::new(0),
@@ -92,6 +108,16 @@
         self.due.get()
     }
 
+    /// The answer about to go out is the last one, whatever its client still sends.
+    pub fn last(&self) {
+        self.over.set(Over::Told);
+    }
+
+    /// Its client has taken nothing of an answer for too long.
+    pub fn stuck(&self) -> bool {
+        self.stuck.get().is_some_and(|since| since.elapsed() >= TAKES_NOTHING)
+    }
+
     /// The time that is left for a body; who reads it sees to it.
     pub fn take_due(&self) -> Option<Instant> {
         self.due.take()
@@ -154,6 +180,10 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         let conn = this.conn.clone();
+        if conn.over.get() == Over::Out {
+            // The server library would read a chunked body to its end, however long that takes, and close then.
+            return Poll::Ready(Ok(()));
+        }
         if this.read >= PIECE {
             this.read = 0;
             cx.waker().wake_by_ref();
@@ -188,11 +218,23 @@
 
 impl AsyncWrite for Wire {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        self.get_mut().stream()?.poll_write(cx, buf)
+        let this = self.get_mut();
+        let wrote = this.stream()?.poll_write(cx, buf);
+        // The server library asks for no more of an answer that waits to be written, so it would never hear that
+        // the answer has ended: a client that reads nothing would keep its place for good.
+        let stuck = &this.conn.stuck;
+        stuck.set(wrote.is_pending().then(|| stuck.get().unwrap_or_else(Instant::now)));
+        wrote
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        self.get_mut().stream()?.poll_flush(cx)
+        let this = self.get_mut();
+        let flushed = this.stream()?.poll_flush(cx);
+        if this.conn.over.get() == Over::Told && flushed.is_ready() {
+            this.conn.over.set(Over::Out);
+            cx.waker().wake_by_ref();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -12,6 +12,7 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt as _;
@@ -199,6 +200,8 @@
                     );
                 });
             }
+            // The client was gone before it was accepted.
+            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
             Err(error) => {
                 log!("accept failed error=\"{error}\"");
                 let _ = (0..EVICTED_AT_ONCE).all(|_| shared.evict());
@@ -222,6 +225,9 @@
             end = &mut served => break code(&end, conn, shared.stopping.get()),
             () = conn.evict.notified() => break "evicted",
             () = actix_rt::time::sleep_until(look.into()) => {
+                if conn.stuck() {
+                    break "slow-client";
+                }
                 if conn.due().is_some_and(|due| due <= Instant::now()) {
                     break match conn.requests.get() {
                         _ if conn.begun() => "slow-head",
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,6 +1,8 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
-use super::{Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, health, note, seconds};
+use super::{
+    Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
+};
 use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
 use crate::log;
@@ -46,9 +48,16 @@
         if request.method() != Method::POST {
             return Err(Bad::Method);
         }
-        let body = body(&shared, &mut request).await?;
-        let target = request.uri().path_and_query().map_or(CHAT, |target| target.as_str()).to_owned();
-        let call = call(request.headers(), shared.core.names(), arrived, target, body)?;
+        check_length(&request)?;
+        // What the head gets wrong is told before the body has come: it may be long, or never come whole.
+        let mut call = call(request.headers(), shared.core.names(), arrived)?;
+        call.target = request.uri().path_and_query().map_or(CHAT, |target| target.as_str()).to_owned();
+        let Body { bytes, held } = body(&shared, &mut request).await?;
+        if serde_json::from_slice::<IgnoredAny>(&bytes).is_err() {
+            return Err(Bad::Field("the body is no JSON".to_owned()));
+        }
+        call.body = bytes;
+        call._held = Some(Box::new(held));
         shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
     };
     let mut end = match taken.await {
@@ -57,6 +66,7 @@
             log!("request refused code={} reason=\"{bad}\"", bad.status().as_u16());
             let text = format!("{bad}\n");
             // Its client may go on as wrongly: it has to connect anew.
+            last(&request);
             return Response::build(bad.status()).force_close().body(text).map_into_boxed_body();
         }
     };
@@ -82,7 +92,7 @@
 }
 
 /// The core's view of a request, from its head.
-fn call(head: &HeaderMap, names: &Names, arrived: Instant, target: String, body: Body) -> Result<Call, Bad> {
+fn call(head: &HeaderMap, names: &Names, arrived: Instant) -> Result<Call, Bad> {
     // A field that comes twice may be read in two ways, and is wrong.
     let text = |name: &str| {
         let mut values = head.get_all(name);
@@ -92,9 +102,6 @@
             _ => Err(wrong(name)),
         }
     };
-    if serde_json::from_slice::<IgnoredAny>(&body.bytes).is_err() {
-        return Err(Bad::Field("the body is no JSON".to_owned()));
-    }
     let label = text("X-Call-Id")?;
     let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
     if label.is_empty() || label.len() > LONGEST_ID || !label.chars().all(plain) {
@@ -144,9 +151,9 @@
         tenant: tenant.map(TenantId),
         arrived,
         budget: Duration::from_secs_f64(budget),
-        target,
-        body: body.bytes,
-        _held: Some(Box::new(body.held)),
+        target: String::new(),
+        body: Bytes::new(),
+        _held: None,
     })
 }
 
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -95,6 +95,8 @@
     checked: Vec<u8>,
     taken: usize,
     part: Option<Pin<Box<Sleep>>>,
+    /// Who reads it waits for more. While nobody does, a slow client being held up, its server can't go on.
+    waiting: bool,
 }
 
 impl Wire {
@@ -133,6 +135,10 @@
 impl AsyncRead for Wire {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
+        if let Some(part) = this.part.as_mut().filter(|_| !this.waiting) {
+            part.as_mut().reset((Instant::now() + PART_TIME).into());
+        }
+        this.waiting = true;
         while this.checked.is_empty() {
             if let Some(spoilt) = this.meter.spoilt.get() {
                 return this.spoilt(spoilt);
@@ -167,6 +173,7 @@
             }
         }
         this.hand_on(buf);
+        this.waiting = false;
         Poll::Ready(Ok(()))
     }
 }
@@ -236,7 +243,8 @@
             open.set(open.get() + 1);
             meter.ended.set(false);
             let (frames, checked) = (Frames::new(), Vec::new());
-            let wire = Wire { stream, address, meter, open, frames, checked, taken: 0, part: None };
+            let wire =
+                Wire { stream, address, meter, open, frames, checked, taken: 0, part: None, waiting: false };
             Ok(Connection::new(info.request().clone(), wire))
         })
     }
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -280,6 +280,26 @@
                     }
                 }
             }
+            // So many events of 32 KiB, one a chunk, as fast as the program takes them, while the next steps go on.
+            "pour" => {
+                let (name, count) = rest.split_once(' ').unwrap();
+                let event = format!("data: {{\"x\":\"{}\"}}\n\n", "x".repeat(32 * 1024));
+                let chunk = format!("{:X}\r\n{event}\r\n", event.len());
+                let count: usize = count.parse().unwrap();
+                let mut stream = self.peer(name).stream.try_clone().unwrap();
+                std::thread::spawn(move || (0..count).all(|_| stream.write_all(chunk.as_bytes()).is_ok()));
+            }
+            // So many bytes come, whatever they say.
+            "drink" => {
+                let (name, count) = rest.split_once(' ').unwrap();
+                let (until, mut left) = (self.until(), count.parse().unwrap());
+                let peer = self.peer(name);
+                while left > 0 {
+                    assert!(peer.read() && Instant::now() < until, "{name}: {left} bytes did not come");
+                    left -= peer.seen.len().min(left);
+                    peer.seen.clear();
+                }
+            }
             "end" => {
                 let until = self.until();
                 let peer = self.peer(rest);
