Blame no server that ends a connection in order without a word, and bound the texts

A process that dies resets its connections; an orderly end without a byte is now `Closed`: it may have run, nobody is blamed.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -369,6 +369,13 @@
         true
     }
 
+    /// A server told its load ahead of an answer's end.
+    pub fn reported(&self, server: &Server, report: Option<Report>) {
+        if report.is_some() {
+            self.handle(Event::Probed { server: server_id(&server.label), ok: true, report });
+        }
+    }
+
     /// An attempt ended.
     pub fn ended(&self, request: RequestId, attempt: Attempt, ended: Ended) {
         let mut verdict = ended.verdict;
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -62,7 +62,7 @@
             let idle = lane.idle();
             let sent = Instant::now();
             let ended = Ended { idle, ..run(&core, &pool, order, lane).await };
-            if let (Some(idle), "reset") = (idle, ended.reason)
+            if let (Some(idle), "reset" | "closed") = (idle, ended.reason)
                 && sent.elapsed() < AT_ONCE
             {
                 pool.distrust(idle);
@@ -226,7 +226,7 @@
         Err(error) => {
             let (verdict, reason) = match lane.spoilt() {
                 Some(spoilt) => (spoilt_at(&order.server), spoilt),
-                None => failed(&error, lane.written(), lane.refused()),
+                None => failed(&error, &lane),
             };
             lane.closing(reason);
             return ended(verdict, lane.written(), reason);
@@ -236,13 +236,14 @@
     let told = answer.headers().get("X-Load-Report").and_then(|value| report(value.as_bytes()));
     let (verdict, reason) = match (answer.status(), order.server.role) {
         (StatusCode::OK, Role::Writer | Role::Mixed) => {
-            let mut ended = stream(core, &mut order, &mut answer, &lane, until).await;
+            // Noted now: a report is of the time at which it came, and its stream may take seconds.
+            core.reported(&order.server, told);
+            let ended = stream(core, &mut order, &mut answer, &lane, until).await;
             if ended.verdict == Verdict::Ok {
                 pool.give(lane);
             } else {
                 lane.closing(ended.reason);
             }
-            ended.report = ended.report.or(told);
             return ended;
         }
         (StatusCode::ACCEPTED, Role::Reader | Role::Mixed) => (Verdict::Read, "read"),
@@ -276,12 +277,14 @@
 }
 
 /// Has it run? The protocol's table, for attempts that got no answer's head.
-fn failed(error: &SendRequestError, written: bool, refused: bool) -> (Verdict, &'static str) {
+fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, &'static str) {
     match error {
         // Another server may still take it: nothing ran.
-        _ if refused => (Verdict::NoRoute, "draining"),
+        _ if lane.refused() => (Verdict::NoRoute, "draining"),
         SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
-        _ if !written => (Verdict::NoRoute, "no-connection"),
+        _ if !lane.written() => (Verdict::NoRoute, "no-connection"),
+        // A process that dies resets its connections; this one lives, and could not read what came.
+        _ if lane.ended() => (Verdict::Closed, "closed"),
         SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, "reset"),
         SendRequestError::Response(_) => (Verdict::Error, "garbage"),
         _ => (Verdict::Reset, "reset"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -330,6 +330,9 @@
     NoRoute,
     /// The connection broke; it may have run.
     Reset,
+    /// The server ended the connection in order, without a word: it may have run, and nothing speaks against the
+    /// server, which ends so what it cannot read.
+    Closed,
     /// Called off; it may have run.
     Cancelled,
     /// Never sent.
@@ -380,7 +383,7 @@
     Gone(RequestId),
     /// A timer fell due.
     Timer(TimerId),
-    /// A probe ended.
+    /// A probe ended, or an answer that began told its server's load.
     Probed {
         /// The server.
         server: ServerId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -93,6 +93,9 @@
 const PROBE_EVERY: Span = Span::from_millis(700);
 /// Probes for each read at most: they are paid for.
 const PROBES: usize = 4;
+/// So many texts are remembered at once, of each server and as popular ones; with a full table new ones are not.
+/// Guards against growing with the keys that clients make up.
+const MOST_TEXTS: usize = 4_096;
 /// Kept counts under this share of the belief mean that the server forgot: its table is dropped.
 const VOID_SHARE: f64 = 0.5;
 /// Wait before the list is asked for again after a failed call; doubles up to 16 times this.
@@ -270,7 +273,10 @@
         self.kept.retain(|_, (_, at)| now - *at <= KEPT_FOR);
         let texts =
             [ask.session.map(|key| (key, ask.prompt_len)), ask.prefix.map(|key| (key, ask.prefix_len))];
-        self.kept.extend(texts.into_iter().flatten().map(|(key, length)| (key, (length, now))));
+        let room = MOST_TEXTS.saturating_sub(self.kept.len());
+        let texts = texts.into_iter().flatten().filter(|(key, _)| room > 1 || self.kept.contains_key(key));
+        let texts: Vec<_> = texts.map(|(key, length)| (key, (length, now))).collect();
+        self.kept.extend(texts);
     }
 }
 
@@ -369,6 +375,9 @@
         };
         self.popular.retain(|_, (_, at)| self.now - *at <= KEPT_FOR);
         for key in [None, ask.prefix] {
+            if self.popular.len() >= MOST_TEXTS && !self.popular.contains_key(&key) {
+                continue;
+            }
             let (count, at) = self.popular.entry(key).or_insert((0.0, self.now));
             (*count, *at) = (halved(*count, self.now - *at, KEPT_FOR) + 1.0, self.now);
         }
@@ -792,7 +801,7 @@
                 }
             }
             Verdict::NoRoute => self.shut_out(at),
-            Verdict::Moot => {}
+            Verdict::Closed | Verdict::Moot => {}
         }
     }
 
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -132,6 +132,44 @@
     assert_eq!(serve(&mut bench, 21, Some(5), 5), Some(home));
 }
 
+/// Servers end a connection in order, without a word, on what they cannot read: that is no fault of theirs.
+#[test]
+fn a_server_that_ends_a_connection_without_a_word_is_not_blamed() {
+    let mut bench = Bench::new(settings(Effect::Safe), fleet());
+    let home = sent_to(&bench.ask(1, Some(5)))[0];
+    bench.end(1, 0, Verdict::Read);
+    bench.end(1, 1, Verdict::Ok);
+    let places: Vec<u64> = (2..6)
+        .map(|id| {
+            let place = sent_to(&bench.ask(id, Some(5)))[0];
+            let other = sent_to(&bench.end(id, 0, Verdict::Closed))[0];
+            assert_ne!(place, other, "not tried twice with the same request");
+            bench.end(id, 1, Verdict::Read);
+            bench.end(id, 2, Verdict::Ok);
+            place
+        })
+        .collect();
+    assert_eq!(places, vec![home; 4]);
+}
+
+/// Texts are remembered up to a bound, whatever keys clients make up.
+#[test]
+fn a_full_table_of_texts_takes_no_new_ones() {
+    let mut bench = Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0)]);
+    let place = |bench: &mut Bench, id: u64, session: u64| {
+        let place = sent_to(&bench.ask_session(id, session, None))[0];
+        bench.end(id, 0, Verdict::Read);
+        bench.end(id, 1, Verdict::Ok);
+        place
+    };
+    (0..5_000).for_each(|id| assert_eq!(place(&mut bench, id, id), 1));
+    bench.hear(Event::Members(Members::Full(vec![member(1, 0, 0), member(2, 0, 0), member(11, 1, 0)])));
+    let early: Vec<u64> = (0..10).map(|n| place(&mut bench, 6_000 + n, n)).collect();
+    assert!(early.iter().all(|place| *place == 1), "their texts are known to be there: {early:?}");
+    let late: Vec<u64> = (0..10).map(|n| place(&mut bench, 7_000 + n, 4_900 + n)).collect();
+    assert!(late.contains(&2), "theirs found no room: {late:?}");
+}
+
 #[test]
 fn a_slower_reader_gets_less() {
     let mut bench = Bench::new(settings(Effect::Safe), fleet());
