--- a/src/logic.rs
+++ b/src/logic.rs
@@ -93,7 +93,7 @@
 const PROBE_EVERY: Span = Span::from_millis(700);
 /// Probes for each read at most: they are paid for.
 const PROBES: usize = 4;
-/// So many texts are remembered at once, of each server and as popular ones; with a full table new ones are not.
+/// So many texts are remembered at once, of each server and as popular ones; a full table takes no new ones.
 /// Guards against growing with the keys that clients make up.
 const MOST_TEXTS: usize = 4_096;
 /// Kept counts under this share of the belief mean that the server forgot: its table is dropped.
