--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -35,6 +35,9 @@
     /// The body is too large.
     #[error("the body is larger than 256 KiB")]
     TooLarge,
+    /// The body's chunks are none.
+    #[error("the body cannot be read")]
+    Unreadable,
     /// The body never came whole.
     #[error("the body did not come whole")]
     Incomplete,
@@ -60,7 +63,7 @@
             Bad::Method => StatusCode::METHOD_NOT_ALLOWED,
             Bad::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Bad::Incomplete => StatusCode::REQUEST_TIMEOUT,
-            Bad::Field(_) | Bad::Unusable => StatusCode::BAD_REQUEST,
+            Bad::Field(_) | Bad::Unusable | Bad::Unreadable => StatusCode::BAD_REQUEST,
             Bad::Twice => StatusCode::CONFLICT,
             Bad::Crowded => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -90,7 +93,12 @@
     let all = async {
         let mut body = Vec::new();
         while let Some(piece) = poll_fn(|cx| Pin::new(&mut payload).poll_next(cx)).await {
-            let piece = piece.map_err(|_: PayloadError| Bad::Incomplete)?;
+            // The server library calls both by one name: chunks that are none, and a client that has gone.
+            let gone = || conn.as_ref().is_some_and(|conn| conn.ended.get());
+            let piece = piece.map_err(|_: PayloadError| match gone() {
+                true => Bad::Incomplete,
+                false => Bad::Unreadable,
+            })?;
             if body.len() + piece.len() > LARGEST_BODY {
                 return Err(Bad::TooLarge);
             }
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -190,6 +190,11 @@
         self.open.borrow().len()
     }
 
+    /// Ids in use and servers listed: neither outlives what it is for.
+    pub fn held(&self) -> (usize, usize) {
+        (self.labels.borrow().len(), self.list.borrow().len())
+    }
+
     // The list.
 
     /// News of the list.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -109,7 +109,8 @@
     while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
-    log!("stopped requests={} connections={}", core.busy(), shared.open());
+    let (ids, servers) = core.held();
+    log!("stopped requests={} connections={} ids={ids} servers={servers}", core.busy(), shared.open());
     Ok(())
 }
 
