Send streams rather to writers that started late while a release goes on

Ruled out: sends after the news of a drain (none), late reads (few), resets on kept connections (counted apart). At fault: src/logic.rs, `best_writer` knows of room alone, so the writer that goes next gets as many streams as others.

While drains are told of, a writer counts as fuller by RELEASE_WEIGHT times the part of its peers that started after it. Test: while_a_release_goes_on_streams_go_to_writers_that_started_late; with weight 0 it fails.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -87,6 +87,10 @@
 /// How heavily what our reads still have to read at a reader weighs, in parts of the prompt: no report knows
 /// of it yet. Guards against piling reads up at one; more would read too much anew under overload.
 const BACKLOG: f64 = 0.3;
+/// A release goes on until no drain was told of for so long ...
+const RELEASE_LASTS: Span = Span::from_millis(10_000);
+/// ... and meanwhile the writer that ran longest counts as fuller by this share of its memory.
+const RELEASE_WEIGHT: f64 = 0.3;
 /// A report loses half its weight in this time.
 const REPORT_HALF: Span = Span::from_millis(2_000);
 /// Probes of one server are this far apart: reports are not refreshed much faster.
@@ -191,6 +195,8 @@
     /// The limits on reads and on tokens, as multiples of their starts.
     limits: [f64; 2],
     born: Option<Time>,
+    /// When the list last told of a server that drains.
+    drained: Option<Time>,
     list_wait: Span,
     now: Time,
 }
@@ -296,6 +302,7 @@
             pools: Default::default(),
             limits: [1.0; 2],
             born: None,
+            drained: None,
             list_wait: LIST_RETRY,
             now: Time(0),
         })
@@ -353,6 +360,9 @@
 
     fn list(&mut self, entry: &Member) {
         let Some(kind) = self.settings.kinds.get(entry.kind.0) else { return };
+        if entry.state == ServerState::Leaving {
+            self.drained = Some(self.now);
+        }
         let old = self.servers.get_mut(&entry.server);
         if let Some(server) = old.filter(|old| entry.up_since <= old.member.up_since) {
             server.member.state = entry.state;
@@ -583,11 +593,31 @@
                 Some(cell) if cell != server.member.cell => 1.0 + 1e-3 * chance,
                 _ => 1e-3 * chance,
             };
-            (id, -self.fullness(server, means[usize::from(server.role == Role::Mixed)]) - FAR_MARGIN * far)
+            let soon = RELEASE_WEIGHT * self.older(server);
+            (
+                id,
+                -soon
+                    - self.fullness(server, means[usize::from(server.role == Role::Mixed)])
+                    - FAR_MARGIN * far,
+            )
         };
         best(among.into_iter().map(score))
     }
 
+    /// The part of a server's peers that started after it, while a release goes on. Releases replace what has
+    /// run longest, and streams break with the process that makes them.
+    fn older(&self, server: &Server) -> f64 {
+        if self.drained.is_none_or(|at| self.now - at > RELEASE_LASTS) {
+            return 0.0;
+        }
+        let peers = self.servers.values().filter(|s| s.role == server.role && s.listed());
+        let (younger, all) = peers.fold((0.0, 0.0), |(younger, all), peer| {
+            let later = peer.member.up_since > server.member.up_since;
+            (younger + f64::from(u8::from(later)), all + 1.0)
+        });
+        younger / f64::max(all, 1.0)
+    }
+
     /// A keyed request that may have run goes on only where repeats are dropped, while they are.
     fn in_scope(&self, id: ServerId, job: &Job) -> bool {
         let Some((first, sent)) = job.ran else { return true };
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -291,6 +291,33 @@
     assert_eq!((first, places.len()), (5, 10), "{places:?}");
 }
 
+/// A release replaces what has run longest, and a stream breaks with its writer: while one goes on, streams go rather
+/// to the writer that started late.
+#[test]
+fn while_a_release_goes_on_streams_go_to_writers_that_started_late() {
+    let young = Member { up_since: Some(Time(MS)), ..member(12, 1, 0) };
+    let mut bench =
+        Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0), young, member(13, 1, 0)]);
+    bench.now += 60_000 * MS;
+    let drains = Member { state: ServerState::Leaving, ..member(13, 1, 0) };
+    bench.hear(Event::Members(Members::Changes(vec![drains])));
+    let writers = |bench: &mut Bench, first: u64| -> Vec<u64> {
+        let ids = first..first + 4;
+        let places: Vec<u64> = ids
+            .clone()
+            .flat_map(|id| {
+                bench.ask(id, None);
+                sent_to(&bench.end(id, 0, Verdict::Read))
+            })
+            .collect();
+        ids.for_each(|id| drop(bench.end(id, 1, Verdict::Ok)));
+        places
+    };
+    assert_eq!(writers(&mut bench, 30), vec![12; 4]);
+    bench.now += 11_000 * MS;
+    assert!(writers(&mut bench, 40).contains(&11), "the release is over");
+}
+
 #[test]
 fn a_hot_beginning_spreads_as_load_demands() {
     let mut bench = Bench::new(settings(Effect::Safe), fleet());
