Build the operators' address, figures, standby and the inherited socket on one life cycle

Change: router/src/life.rs (state machine), router/src/operators.rs (second address, figures), inherit/ (takes over $PROXY_FD, the one unsafe block), the door and its connections ask the life cycle. Idle connections of clients that are sent away end only when the system says that nothing unread stands on them. The module tells how many servers it avoids. Each process takes half of the limits where the socket is inherited.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -6,15 +6,18 @@
 pub mod openai;
 pub mod platform;
 
+use crate::core::Untaken;
 use crate::exchange::{Broken, ClientEnd};
+use crate::life::Phase;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::PayloadError;
 use actix_http::header::{self, HeaderValue};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use conn::{Busy, Conn, REQUEST_TIME};
-pub use door::{Held, Shared, serve};
+pub use door::{Held, STILL_OPEN, Shared, serve};
 use futures_core::Stream;
+use shedrelay::ClassId;
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -70,6 +73,17 @@
     }
 }
 
+/// A request ended before the core heard of it: it is counted all the same, once.
+pub fn untaken(shared: &Shared, request: &Request, class: Option<ClassId>, status: StatusCode) {
+    let gone = || request.conn_data::<Rc<Conn>>().is_some_and(|conn| conn.ended.get());
+    let how = match status {
+        StatusCode::SERVICE_UNAVAILABLE => Untaken::Refused,
+        StatusCode::REQUEST_TIMEOUT if gone() => Untaken::Left,
+        _ => Untaken::Failed,
+    };
+    shared.core.untaken(class, how);
+}
+
 /// The answer to this request is the last one on its connection.
 pub fn last(request: &Request) {
     if let Some(conn) = request.conn_data::<Rc<Conn>>() {
@@ -205,6 +219,12 @@
     if !matches!(*request.method(), Method::GET | Method::HEAD) {
         return Response::new(Bad::Method.status());
     }
-    let able = !shared.stopping.get() && shared.core.able();
+    // On an inherited socket the address is the next process's as soon as this one stops: a no from here, on a
+    // connection that is still open, would speak for both.
+    let takes = match shared.life.phase() {
+        Phase::Stopping => shared.inherited,
+        phase => phase.takes_clients(),
+    };
+    let able = takes && shared.core.able();
     Response::new(if able { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
 }
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -2,8 +2,10 @@
 //! much is read of it. actix-http bounds neither the time of a body or of a later head nor, to less than 128 KiB,
 //! what it takes in; and while a request is under way it reads on without a pause. Both are guarded against here.
 
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
@@ -48,6 +50,12 @@
     pub evict: Notify,
     /// It was told so.
     pub leaving: Cell<bool>,
+    /// Its client is sent away: who follows it hears when it is without a request.
+    pub away: Cell<bool>,
+    /// It ends as soon as nothing unread stands on it.
+    pub leave: Cell<bool>,
+    /// An answer is out while its client is sent away.
+    pub free: Notify,
     /// The socket, once the server library has let go of it.
     pub socket: RefCell<Option<TcpStream>>,
     /// Its last answer was an error after which nothing is read: out already, or about to be.
@@ -74,6 +82,9 @@
             since: Cell::new(now),
             evict: Notify::new(),
             leaving: Cell::new(false),
+            away: Cell::new(false),
+            leave: Cell::new(false),
+            free: Notify::new(),
             socket: RefCell::default(),
             over: Cell::default(),
             stuck: Cell::new(None),
@@ -145,6 +156,9 @@
             if let Some(paused) = conn.paused.take() {
                 paused.wake();
             }
+            if conn.away.get() {
+                conn.free.notify_one();
+            }
         }
     }
 }
@@ -169,6 +183,18 @@
     }
 }
 
+impl Wire {
+    /// Whether bytes stand on the connection, asked of the system itself: what it has told so far may be old.
+    fn unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peek = |stream| SockRef::from(stream).peek(&mut byte);
+        self.stream.as_ref().map(peek).is_some_and(|peeked| match peeked {
+            Ok(size) => size > 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        })
+    }
+}
+
 impl Drop for Wire {
     fn drop(&mut self) {
         // Its end is seen to by who accepted it.
@@ -201,7 +227,14 @@
         let read = this.stream()?.poll_read(cx, buf);
         let came = buf.filled().len() - before;
         match read {
-            Poll::Pending => this.read = 0,
+            Poll::Pending => {
+                this.read = 0;
+                // To the server library the client has closed, so it ends the connection in order. Guards against
+                // closing on a request that has come and was not seen yet.
+                if conn.leave.get() && conn.idle() && conn.bytes.get() == 0 && !this.unread() {
+                    return Poll::Ready(Ok(()));
+                }
+            }
             Poll::Ready(Ok(())) if came == 0 => conn.ended.set(true),
             _ => {}
         }
--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -3,6 +3,7 @@
 
 use super::conn::{Conn, Wire};
 use crate::core::Core;
+use crate::life::{Life, Phase};
 use crate::log;
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
@@ -17,13 +18,21 @@
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
 
 /// What a client still sends is taken for this long after its answer: closing on bytes that nobody read would
 /// reset the connection, and take the answer from the client.
 const LINGER: Duration = Duration::from_millis(1_500);
 /// How often a connection with a request under way is looked at; no longer than its times in `conn.rs`.
 const LOOK: Duration = Duration::from_secs(2);
+/// After SIGTERM clients keep coming for a moment, until the front layer has heard; they are still served. Where the
+/// socket is inherited the next process takes them at once.
+pub const STILL_OPEN: Duration = Duration::from_millis(600);
+/// Clients that are sent away may ask once more on a connection without a request for so long, so that most of them
+/// close with an answer; a new connection stays open for as long until its first request.
+const LAST_USE: Duration = Duration::from_millis(600);
+/// A head that has begun is whole this long after its client was sent away: 4 s after a drain no connection may carry
+/// a request from the last 2 s.
+const LAST_HEAD: Duration = Duration::from_millis(1_900);
 /// A connection that never asked anything is given up for another one only when it is older than this.
 const FRESH: Duration = Duration::from_millis(150);
 /// Connections beyond the limit that are told so, rather than just closed.
@@ -42,8 +51,12 @@
 pub struct Shared {
     /// Where requests go.
     pub core: Rc<Core>,
-    /// The program is about to end: answers close their connections.
-    pub stopping: Cell<bool>,
+    /// Where in its life the router is.
+    pub life: Life,
+    /// The clients' socket is the platform's, and another process may accept from it.
+    pub inherited: bool,
+    /// Configurations taken over and turned down since the start.
+    pub reloads: Cell<(u64, u64)>,
     /// Connections that are open; each is taken out by its task when it ends.
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     last: Cell<u64>,
@@ -51,28 +64,36 @@
     turned_away: Cell<usize>,
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
-    stop: watch::Sender<bool>,
 }
 
 impl Shared {
     /// With so many client connections, and so many bytes of requests' bodies, at most.
-    pub fn new(core: Rc<Core>, most: usize, most_bodies: usize) -> Rc<Self> {
+    pub fn new(core: Rc<Core>, most: usize, most_bodies: usize, inherited: bool) -> Rc<Self> {
         Rc::new(Shared {
             core,
-            stopping: Cell::new(false),
+            life: Life::new(),
+            inherited,
+            reloads: Cell::default(),
             conns: RefCell::default(),
             last: Cell::new(0),
             most,
             turned_away: Cell::new(0),
             bodies: Rc::default(),
             most_bodies,
-            stop: watch::Sender::new(false),
         })
     }
 
-    /// No connection is accepted from now on, and those without a request are closed.
-    pub fn drain(&self) {
-        self.stop.send_replace(true);
+    /// Waits until no connection is to be accepted any more.
+    async fn shut(&self) {
+        let _ = self.life.subscribe().wait_for(|(phase, _)| *phase == Phase::Stopping).await;
+        if !self.inherited {
+            actix_rt::time::sleep(STILL_OPEN).await;
+        }
+    }
+
+    /// Ends so many connections without a request under way, as far as there are any.
+    pub fn evict_some(&self, most: usize) {
+        let _ = (0..most).all(|_| self.evict());
     }
 
     /// Client connections that are open.
@@ -143,12 +164,11 @@
     A: Future<Output = Response<BoxBody>> + 'static,
 {
     let of = shared.clone();
-    let stop = shared.stop.subscribe();
     let service = fn_service(move |request: Request| {
         let (shared, front) = (of.clone(), front.clone());
         async move {
             let mut response = front(shared.clone(), request).await;
-            if shared.stopping.get() {
+            if shared.life.phase().sends_away() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
             Ok::<_, Infallible>(response)
@@ -161,12 +181,6 @@
         .client_disconnect_timeout(Duration::ZERO)
         // A client that closes its connection has gone away.
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || {
-            let mut stop = stop.clone();
-            async move {
-                let _ = stop.wait_for(|stop| *stop).await;
-            }
-        })
         .on_connect_ext(|wire: &Wire, data| {
             data.insert(wire.conn.clone());
         })
@@ -175,11 +189,17 @@
         log!("front failed reason=no-service");
         return;
     };
-    let mut stop = shared.stop.subscribe();
+    if shared.inherited {
+        // Until then the process before this one takes what comes.
+        let starting = |phase: &Phase| matches!(phase, Phase::Starting { .. });
+        let _ = shared.life.subscribe().wait_for(|(phase, _)| !starting(phase)).await;
+    }
+    let mut shut = std::pin::pin!(shared.shut());
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = &mut shut => return,
             accepted = listener.accept() => accepted,
-            _ = stop.wait_for(|stop| *stop) => return,
         };
         match accepted {
             Ok((stream, _)) if !shared.make_room() => turn_away(&shared, stream),
@@ -204,7 +224,7 @@
             Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
             Err(error) => {
                 log!("accept failed error=\"{error}\"");
-                let _ = (0..EVICTED_AT_ONCE).all(|_| shared.evict());
+                shared.evict_some(EVICTED_AT_ONCE);
                 actix_rt::time::sleep(NO_DESCRIPTORS).await;
             }
         }
@@ -218,17 +238,29 @@
     shared: &Shared,
 ) -> &'static str {
     let mut served = Box::pin(served);
+    let mut life = shared.life.subscribe();
+    let born = Instant::now();
     let code = loop {
-        let look = conn.due().unwrap_or_else(|| Instant::now() + LOOK);
+        let away = shared.life.away_since();
+        let by = |due: Instant| away.filter(|_| conn.begun()).map_or(due, |away| due.min(away + LAST_HEAD));
+        let free = away.map(|away| away + LAST_USE).filter(|_| conn.idle() && !conn.begun());
+        // Its first request may be on its way.
+        let free = free.map(|free| if conn.requests.get() == 0 { free.max(born + LAST_USE) } else { free });
+        conn.away.set(away.is_some());
+        conn.leave.set(free.is_some_and(|free| free <= Instant::now()));
+        let look = conn.due().map_or_else(|| Instant::now() + LOOK, by);
+        let look = free.filter(|_| !conn.leave.get()).map_or(look, |free| look.min(free));
         tokio::select! {
             biased;
-            end = &mut served => break code(&end, conn, shared.stopping.get()),
+            end = &mut served => break code(&end, conn, shared.life.phase()),
             () = conn.evict.notified() => break "evicted",
+            _ = life.changed() => {}
+            () = conn.free.notified() => {}
             () = actix_rt::time::sleep_until(look.into()) => {
                 if conn.stuck() {
                     break "slow-client";
                 }
-                if conn.due().is_some_and(|due| due <= Instant::now()) {
+                if conn.due().is_some_and(|due| by(due) <= Instant::now()) {
                     break match conn.requests.get() {
                         _ if conn.begun() => "slow-head",
                         0 => "no-request",
@@ -244,7 +276,7 @@
     let answer: &[u8] = match code {
         "slow-head" => LATE,
         "large-head" => LARGE,
-        "closed" | "bad-head" => b"",
+        "closed" | "bad-head" | "stopping" | "standby" => b"",
         _ => return code,
     };
     if let Some(socket) = socket.filter(|_| !conn.ended.get()) {
@@ -289,7 +321,7 @@
 }
 
 /// The reason why a connection ended, for the log.
-fn code(end: &Result<(), DispatchError>, conn: &Conn, stopping: bool) -> &'static str {
+fn code(end: &Result<(), DispatchError>, conn: &Conn, phase: Phase) -> &'static str {
     match end {
         _ if conn.large.get() => "large-head",
         Err(DispatchError::Body(_)) => "answer-broken",
@@ -297,7 +329,7 @@
         Err(DispatchError::Io(_)) => "reset",
         Err(_) => "error",
         Ok(()) if conn.ended.get() => "client-closed",
-        Ok(()) if stopping => "stopping",
+        Ok(()) if phase.sends_away() => phase.name(),
         Ok(()) if conn.requests.get() == 0 => "no-request",
         Ok(()) => "closed",
     }
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -4,7 +4,7 @@
 mod api;
 mod render;
 
-use super::{Answer, Bad, Busy, Shared, body, health, note};
+use super::{Answer, Bad, Busy, Shared, body, health, note, untaken};
 use crate::config::{self, openai::OpenAi};
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::log;
@@ -53,6 +53,8 @@
     if path == HEALTH {
         return health(&shared, &request);
     }
+    // A model stands for a class: a request that names none is counted nowhere.
+    let mut class = None;
     let answered = async {
         let tenant = api::tenant(&api.told, request.headers().get(AUTHORIZATION))?;
         let wanted = if path == CHAT { Method::POST } else { Method::GET };
@@ -69,13 +71,16 @@
             ));
         }
         let body = body(&shared, &mut request).await?;
-        let chat = Chat::parse(&api.told, &body.bytes)?;
+        let chat = Chat::parse(&api.told, &body.bytes)
+            .inspect_err(|_| class = api::class(&api.told, &body.bytes))?;
         let id = api.id();
         let call = chat.call(&api.told, tenant, id.clone(), arrived, body.held);
         let end = shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)?;
         Ok(answer(end, &chat, &id, busy).await)
     };
-    answered.await.unwrap_or_else(|refusal: Refusal| {
+    let answered = answered.await;
+    answered.unwrap_or_else(|refusal: Refusal| {
+        untaken(&shared, &request, class, refusal.status);
         log!("request refused code={} reason={:?}", refusal.status.as_u16(), refusal.message);
         let mut response = Response::build(refusal.status);
         if refusal.close {
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 use serde_json::{Map, Value, json};
-use shedrelay::{Key, TenantId};
+use shedrelay::{ClassId, Key, TenantId};
 use std::time::Instant;
 
 /// A token is so many characters.
@@ -138,6 +138,13 @@
     body: Bytes,
 }
 
+/// The class of a request that is wrong, if it names a model.
+pub fn class(told: &OpenAi, body: &[u8]) -> Option<ClassId> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let name = body.get("model")?.as_str()?;
+    told.models.iter().find(|model| model.name == name).map(|model| model.class)
+}
+
 impl Chat {
     /// Reads a request's body.
     pub fn parse(told: &OpenAi, body: &[u8]) -> Result<Self, Refusal> {
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,7 +1,7 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
 use super::{
-    Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
+    Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds, untaken,
 };
 use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
@@ -64,6 +64,13 @@
         Ok(end) => end,
         Err(bad) => {
             log!("request refused code={} reason=\"{bad}\"", bad.status().as_u16());
+            let class = request.headers().get("X-Call-Class").and_then(|value| value.to_str().ok());
+            untaken(
+                &shared,
+                &request,
+                class.and_then(|name| class_id(shared.core.names(), name)),
+                bad.status(),
+            );
             let text = format!("{bad}\n");
             // Its client may go on as wrongly: it has to connect anew.
             last(&request);
@@ -108,7 +115,7 @@
         return Err(wrong("X-Call-Id"));
     }
     let class = text("X-Call-Class")?;
-    let class = names.classes.iter().position(|known| known == class).ok_or_else(|| wrong("X-Call-Class"))?;
+    let class = class_id(names, class).ok_or_else(|| wrong("X-Call-Class"))?;
     let tenant = if names.tenants.is_empty() {
         None
     } else {
@@ -147,7 +154,7 @@
         prefix_len: prefix_len.unwrap_or(0.0).min(prompt_len),
         prompt_len,
         max_out,
-        class: ClassId(class),
+        class,
         tenant: tenant.map(TenantId),
         arrived,
         budget: Duration::from_secs_f64(budget),
@@ -157,6 +164,10 @@
     })
 }
 
+fn class_id(names: &Names, name: &str) -> Option<ClassId> {
+    names.classes.iter().position(|known| known == name.trim()).map(ClassId)
+}
+
 fn wrong(name: &str) -> Bad {
     Bad::Field(format!("{name} is wrong"))
 }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -9,8 +9,8 @@
 use shedrelay_settings::{Links, Names, Wire};
 use std::net::SocketAddr;
 
-/// Descriptors kept for the listeners, the list's watch, standard streams and the runtime.
-const SPARE_SOCKETS: usize = 48;
+/// Descriptors kept for the listeners, the list's watch, operators' callers, standard streams and the runtime.
+const SPARE_SOCKETS: usize = 32 + crate::operators::MOST_CALLERS;
 /// Part of the others that clients may hold; the rest is for servers.
 const CLIENT_PART: f64 = 0.55;
 /// With fewer descriptors than this a router cannot work.
@@ -54,6 +54,7 @@
     name: Option<String>,
     listen: Option<String>,
     discovery: Option<String>,
+    mgmt: Option<String>,
     #[serde(default)]
     seed: serde_json::Value,
     #[serde(default)]
@@ -83,6 +84,8 @@
     pub listen: SocketAddr,
     /// Where discovery answers.
     pub discovery: SocketAddr,
+    /// Where operators call, if they may.
+    pub mgmt: Option<SocketAddr>,
     /// Seed of the module's chance.
     pub seed: u64,
     /// Client connections that may be open at once.
@@ -106,17 +109,21 @@
 }
 
 impl Config {
-    /// Reads the file that `$PROXY_CONFIG` names; variables of their own outweigh it.
-    pub fn load() -> Result<Self, ConfigError> {
-        Config::read(|name, value| std::env::var(name).ok().or(value))
+    /// Reads the file that `$PROXY_CONFIG` names; variables of their own outweigh it. With an inherited socket
+    /// (`shared`) another process may run beside this one: each takes half of what both may have.
+    pub fn load(shared: bool) -> Result<Self, ConfigError> {
+        Config::read(shared, |name, value| std::env::var(name).ok().or(value))
     }
 
     /// Reads the file again. Now it outweighs the variables: they still say what held at the start.
-    pub fn reload() -> Result<Self, ConfigError> {
-        Config::read(|name, value| value.or_else(|| std::env::var(name).ok()))
+    pub fn reload(shared: bool) -> Result<Self, ConfigError> {
+        Config::read(shared, |name, value| value.or_else(|| std::env::var(name).ok()))
     }
 
-    fn read(choose: impl Fn(&str, Option<String>) -> Option<String>) -> Result<Self, ConfigError> {
+    fn read(
+        shared: bool,
+        choose: impl Fn(&str, Option<String>) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
         let path = std::env::var("PROXY_CONFIG").map_err(|_| ConfigError::Unset("PROXY_CONFIG"))?;
         let text = std::fs::read_to_string(&path)
             .map_err(|error| ConfigError::File { path: path.clone(), error })?;
@@ -128,13 +135,16 @@
             let text = told(name, value)?;
             text.parse().map_err(|_| wrong(format!("{name}: `{text}` is not address:port")))
         };
-        let sockets = file.limits.sockets;
+        let processes = if shared { 2 } else { 1 };
+        let sockets = file.limits.sockets / processes;
         if sockets < LEAST_SOCKETS {
-            return Err(wrong(format!("limits.sockets: {sockets} is under {LEAST_SOCKETS}")));
+            let (told, least) = (file.limits.sockets, LEAST_SOCKETS * processes);
+            return Err(wrong(format!("limits.sockets: {told} is under {least}")));
         }
-        let memory_mb = file.limits.memory_mb;
+        let memory_mb = file.limits.memory_mb / processes as f64;
         if memory_mb < LEAST_MEMORY_MB {
-            return Err(wrong(format!("limits.memory_mb: {memory_mb} is under {LEAST_MEMORY_MB}")));
+            let (told, least) = (file.limits.memory_mb, LEAST_MEMORY_MB * processes as f64);
+            return Err(wrong(format!("limits.memory_mb: {told} is under {least}")));
         }
         let client_sockets = ((sockets - SPARE_SOCKETS) as f64 * CLIENT_PART) as usize;
         let links = file.settings.links();
@@ -154,6 +164,10 @@
             name: told("PROXY_NAME", file.name).unwrap_or_else(|_| "router".to_owned()),
             listen: address("PROXY_LISTEN", file.listen)?,
             discovery: address("PROXY_DISCOVERY", file.discovery)?,
+            mgmt: match choose("PROXY_MGMT", file.mgmt) {
+                Some(told) => Some(address("PROXY_MGMT", Some(told))?),
+                None => None,
+            },
             seed: seed(&file.seed),
             client_sockets,
             server_sockets: sockets - SPARE_SOCKETS - client_sockets,
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -102,6 +102,30 @@
     }
 }
 
+/// Requests of one class that have ended, by how.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    /// Answered whole.
+    pub served: u64,
+    /// Refused: trying again is harmless.
+    pub refused: u64,
+    /// Failed, broken off or unusable.
+    pub failed: u64,
+    /// Their clients left before.
+    pub left: u64,
+}
+
+/// How a request ended that never reached the module.
+#[derive(Clone, Copy, Debug)]
+pub enum Untaken {
+    /// It was refused: there was no room for it.
+    Refused,
+    /// What came made no sense, or never came whole.
+    Failed,
+    /// Its client left.
+    Left,
+}
+
 struct Open {
     exchange: Rc<Exchange>,
     _overdue: Alarm,
@@ -131,6 +155,9 @@
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
     servers: RefCell<Option<Rc<dyn Servers>>>,
+    /// One for each class: a class that is not known adds none.
+    tallies: RefCell<Vec<Tally>>,
+    dispatches: Rc<Cell<u64>>,
     born: Instant,
     unix: u64,
     last: Cell<u64>,
@@ -146,6 +173,7 @@
     ) -> Result<Rc<Self>, SettingsError> {
         let roles = settings.kinds.iter().map(|kind| kind.role).collect();
         let router = Router::new(settings, seed)?;
+        let tallies = RefCell::new(vec![Tally::default(); names.classes.len()]);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         Ok(Rc::new_cyclic(|me| Core {
             router: RefCell::new(router),
@@ -155,6 +183,8 @@
             labels: RefCell::default(),
             list: RefCell::default(),
             servers: RefCell::default(),
+            tallies,
+            dispatches: Rc::default(),
             born: Instant::now(),
             unix: unix.as_nanos() as u64,
             last: Cell::new(0),
@@ -195,6 +225,46 @@
         (self.labels.borrow().len(), self.list.borrow().len())
     }
 
+    // Figures.
+
+    /// What has ended, for each class in their order.
+    pub fn tallies(&self) -> Vec<Tally> {
+        self.tallies.borrow().clone()
+    }
+
+    /// Attempts written whole; counted at the connection, where alone that is seen.
+    pub fn dispatches(&self) -> u64 {
+        self.dispatches.get()
+    }
+
+    /// Where they are counted.
+    pub fn dispatch_counter(&self) -> Rc<Cell<u64>> {
+        self.dispatches.clone()
+    }
+
+    /// Requests taken that have not ended for their clients: an attempt that is still out after its request's
+    /// final answer counts for nothing here.
+    pub fn concurrent(&self) -> usize {
+        let open = self.open.borrow();
+        open.values().filter(|open| !open.left && (!open.answered || open.started)).count()
+    }
+
+    /// Servers listed, and how many of them the module avoids now.
+    pub fn targets(&self) -> (usize, usize) {
+        (self.list.borrow().len(), self.router.borrow().avoided(self.now()))
+    }
+
+    /// A request of this class ended before it could be submitted. One whose class is not known counts nowhere.
+    pub fn untaken(&self, class: Option<ClassId>, how: Untaken) {
+        let mut tallies = self.tallies.borrow_mut();
+        let Some(tally) = class.and_then(|class| tallies.get_mut(class.0)) else { return };
+        match how {
+            Untaken::Refused => tally.refused += 1,
+            Untaken::Failed => tally.failed += 1,
+            Untaken::Left => tally.left += 1,
+        }
+    }
+
     // The list.
 
     /// News of the list.
@@ -451,9 +521,17 @@
         }
     }
 
-    /// One line for each request: its final outcome.
+    /// One line for each request: its final outcome, which is counted here alone.
     fn done(&self, open: &Open, outcome: &str) {
         let call = &open.exchange.call;
+        if let Some(tally) = self.tallies.borrow_mut().get_mut(call.class.0) {
+            match outcome {
+                "served" => tally.served += 1,
+                "refused" => tally.refused += 1,
+                "client-left" => tally.left += 1,
+                _ => tally.failed += 1,
+            }
+        }
         log!(
             "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={}",
             call.label,
--- /dev/null
+++ b/router/src/life.rs
@@ -0,0 +1,158 @@
+//! The router's life cycle: the one state machine that health calls, the operators' address, the door and the
+//! signals ask. Which states there are and what leads from one to another stands in [`Phase::next`] alone.
+
+use std::time::Instant;
+use tokio::sync::watch;
+
+/// Where in its life the router is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Phase {
+    /// It cannot serve yet; `drained`: an operator drained it already.
+    Starting {
+        /// It goes on to standby, not to active.
+        drained: bool,
+    },
+    /// It takes clients.
+    Active,
+    /// An operator drained it: what came is served, clients are sent away.
+    Standby,
+    /// It was told to end.
+    Stopping,
+}
+
+/// What can happen to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Event {
+    /// It can serve.
+    Ready,
+    /// An operator drains it.
+    Drain,
+    /// An operator ends the drain.
+    Resume,
+    /// SIGTERM.
+    Stop,
+}
+
+impl Phase {
+    /// The phase that follows; `None` where the event makes no sense. An event that changes nothing is allowed, so
+    /// that operators may repeat a call.
+    pub fn next(self, event: Event) -> Option<Phase> {
+        match (self, event) {
+            (_, Event::Stop) => Some(Phase::Stopping),
+            // It ends, and takes nobody any more.
+            (Phase::Stopping, Event::Resume) => None,
+            (Phase::Stopping, Event::Drain | Event::Ready) => Some(Phase::Stopping),
+            (Phase::Starting { drained: false }, Event::Ready) => Some(Phase::Active),
+            (Phase::Starting { drained: true }, Event::Ready) => Some(Phase::Standby),
+            (Phase::Starting { .. }, Event::Drain) => Some(Phase::Starting { drained: true }),
+            (Phase::Starting { .. }, Event::Resume) => Some(Phase::Starting { drained: false }),
+            (Phase::Active | Phase::Standby, Event::Drain) => Some(Phase::Standby),
+            (Phase::Active | Phase::Standby, Event::Resume) => Some(Phase::Active),
+            (Phase::Active | Phase::Standby, Event::Ready) => Some(self),
+        }
+    }
+
+    /// Clients are taken and asked to stay.
+    pub fn takes_clients(self) -> bool {
+        self == Phase::Active
+    }
+
+    /// Clients are sent away: answers close their connections, and those without a request end.
+    pub fn sends_away(self) -> bool {
+        matches!(self, Phase::Standby | Phase::Stopping)
+    }
+
+    /// For the log and the operators.
+    pub fn name(self) -> &'static str {
+        match self {
+            Phase::Starting { .. } => "starting",
+            Phase::Active => "active",
+            Phase::Standby => "standby",
+            Phase::Stopping => "stopping",
+        }
+    }
+}
+
+/// The router's phase, and since when it holds.
+pub struct Life {
+    phase: watch::Sender<(Phase, Instant)>,
+}
+
+impl Life {
+    /// A router that starts.
+    pub fn new() -> Self {
+        Life { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
+    }
+
+    /// The phase now.
+    pub fn phase(&self) -> Phase {
+        self.phase.borrow().0
+    }
+
+    /// Since when clients are sent away, if they are.
+    pub fn away_since(&self) -> Option<Instant> {
+        let (phase, since) = *self.phase.borrow();
+        phase.sends_away().then_some(since)
+    }
+
+    /// Something happened. False if it makes no sense in this phase.
+    pub fn tell(&self, event: Event) -> bool {
+        let now = self.phase();
+        let Some(next) = now.next(event) else { return false };
+        self.phase.send_if_modified(|(phase, since)| {
+            let changed = *phase != next;
+            // From standby to stopping clients have been sent away already.
+            if changed && !(phase.sends_away() && next.sends_away()) {
+                *since = Instant::now();
+            }
+            *phase = next;
+            changed
+        });
+        if next != now {
+            crate::log!("life phase={} before={}", next.name(), now.name());
+        }
+        true
+    }
+
+    /// To hear of the next change.
+    pub fn subscribe(&self) -> watch::Receiver<(Phase, Instant)> {
+        self.phase.subscribe()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ALL: [Phase; 5] = [
+        Phase::Starting { drained: false },
+        Phase::Starting { drained: true },
+        Phase::Active,
+        Phase::Standby,
+        Phase::Stopping,
+    ];
+
+    /// Whatever else happens, a stop is the end; and no call but a resume during a stop is turned down.
+    #[test]
+    fn a_stop_is_the_end_and_calls_may_be_repeated() {
+        for phase in ALL {
+            assert_eq!(phase.next(Event::Stop), Some(Phase::Stopping));
+            for event in [Event::Ready, Event::Drain, Event::Resume] {
+                let next = phase.next(event);
+                assert_eq!(next.is_none(), (phase, event) == (Phase::Stopping, Event::Resume));
+                if let Some(next) = next {
+                    assert_eq!(next.next(event), Some(next), "{event:?} twice in {phase:?}");
+                }
+            }
+        }
+    }
+
+    /// A drain before the list is there is kept until it is.
+    #[test]
+    fn a_drain_at_the_start_is_kept() {
+        let drained = Phase::Starting { drained: false }.next(Event::Drain).unwrap();
+        assert!(!drained.takes_clients());
+        assert_eq!(drained.next(Event::Ready), Some(Phase::Standby));
+        assert_eq!(drained.next(Event::Resume).unwrap().next(Event::Ready), Some(Phase::Active));
+    }
+}
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -6,13 +6,16 @@
 mod config;
 mod core;
 mod exchange;
+mod life;
 mod list;
 mod log;
+mod operators;
 mod servers;
 mod sse;
 
-use clients::{Shared, openai, platform};
+use clients::{STILL_OPEN, Shared, openai, platform};
 use config::Config;
+use life::Event;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -20,8 +23,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-/// After SIGTERM clients keep coming for a moment, until the front layer has heard; they are still served.
-const STILL_OPEN: Duration = Duration::from_millis(600);
+/// A router whose list names no servers that can serve takes clients after this time all the same: it refuses them,
+/// which is better than to leave them waiting.
+const STARTING: Duration = Duration::from_secs(4);
 /// The longest wait for answers under way; the platform kills what is left.
 const LAST_ANSWERS: Duration = Duration::from_secs(60);
 
@@ -32,17 +36,28 @@
     Config(#[from] config::ConfigError),
     #[error(transparent)]
     Settings(#[from] shedrelay::SettingsError),
+    #[error("PROXY_FD: {0}")]
+    Inherit(#[from] fawnstream_inherit::InheritError),
     #[error("{what}: {error}")]
     Io { what: String, error: std::io::Error },
 }
 
 /// SIGHUP: the whole configuration is read and checked before anything of it holds. Guards against a file that
 /// is broken or half written: the settings stay as they were.
-fn reload(discovery: &watch::Sender<SocketAddr>, etcd: Option<&watch::Sender<config::etcd::Etcd>>) {
-    let config = match Config::reload() {
+fn reload(
+    shared: &Shared,
+    discovery: &watch::Sender<SocketAddr>,
+    etcd: Option<&watch::Sender<config::etcd::Etcd>>,
+) {
+    let (done, failed) = shared.reloads.get();
+    let config = match Config::reload(shared.inherited) {
         Ok(config) => config,
-        Err(error) => return log!("reload kept=old reason=\"{error}\""),
+        Err(error) => {
+            shared.reloads.set((done, failed + 1));
+            return log!("reload kept=old reason=\"{error}\"");
+        }
     };
+    shared.reloads.set((done + 1, failed));
     let mut moved = swap(discovery, config.discovery);
     if let (Some(etcd), Some(told)) = (etcd, config.etcd) {
         moved |= swap(etcd, told);
@@ -59,12 +74,12 @@
     })
 }
 
-async fn run() -> Result<(), Failure> {
+async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), Failure> {
     let io = |what: String| move |error| Failure::Io { what, error };
     // Taken first: a signal that nobody takes ends the program.
     let mut hup = signal(SignalKind::hangup()).map_err(io("SIGHUP".to_owned()))?;
     let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM".to_owned()))?;
-    let config = Config::load()?;
+    let config = Config::load(inherited.is_some())?;
     let core = core::Core::new(config.settings, config.names, config.seed)?;
     core.connect(servers::Fleet::new(core.clone(), config.links, config.server_sockets));
     let from = config.known.as_ref().map_or(0, |known| known.revision);
@@ -79,9 +94,21 @@
         Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
         None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, hear))),
     }
-    let listener =
-        TcpListener::bind(config.listen).await.map_err(io(format!("listening on {}", config.listen)))?;
-    let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes);
+    let inherits = inherited.is_some();
+    let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes, inherits);
+    // First of all listeners: operators may ask, and drain, before there is a list.
+    if let Some(address) = config.mgmt {
+        let at = |what: &str| io(format!("{what} on {address}"));
+        let listener = TcpListener::bind(address).await.map_err(at("operators"))?;
+        let listen = listener.local_addr().map_err(at("operators"))?;
+        actix_rt::spawn(operators::serve(listener, shared.clone()));
+        log!("operators listen={listen}");
+    }
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener),
+        None => TcpListener::bind(config.listen).await,
+    };
+    let listener = listener.map_err(io(format!("listening on {}", config.listen)))?;
     let listen = listener.local_addr().map_err(io("the listener".to_owned()))?;
     actix_rt::spawn(clients::serve(listener, shared.clone(), platform::front));
     if let Some(told) = config.openai {
@@ -93,18 +120,27 @@
         actix_rt::spawn(clients::serve(listener, shared.clone(), front));
         log!("openai listen={listen}");
     }
-    log!("started name={} listen={listen} discovery={}", config.name, config.discovery);
+    log!("started name={} listen={listen} discovery={} inherited={inherits}", config.name, config.discovery);
+    let ready = shared.clone();
+    actix_rt::spawn(async move {
+        let able = async {
+            while !ready.core.able() {
+                actix_rt::time::sleep(Duration::from_millis(10)).await;
+            }
+        };
+        let _ = actix_rt::time::timeout(STARTING, able).await;
+        ready.life.tell(Event::Ready);
+    });
 
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            Some(()) = hup.recv() => reload(&discovery, etcd.as_ref()),
+            Some(()) = hup.recv() => reload(&shared, &discovery, etcd.as_ref()),
         }
     }
     log!("stopping requests={} connections={}", core.busy(), shared.open());
-    shared.stopping.set(true);
+    shared.life.tell(Event::Stop);
     actix_rt::time::sleep(STILL_OPEN).await;
-    shared.drain();
     let last = Instant::now() + LAST_ANSWERS;
     while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
@@ -115,7 +151,16 @@
 }
 
 fn main() -> ExitCode {
-    match actix_rt::System::new().block_on(run()) {
+    // Taken over before anything else is opened.
+    let inherited = match std::env::var("PROXY_FD").ok().filter(|fd| !fd.is_empty()) {
+        Some(fd) => fawnstream_inherit::listener(&fd).map(Some),
+        None => Ok(None),
+    };
+    let ended = match inherited {
+        Ok(inherited) => actix_rt::System::new().block_on(run(inherited)),
+        Err(error) => Err(error.into()),
+    };
+    match ended {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
             eprintln!("fawnstream: {failure}");
--- /dev/null
+++ b/router/src/operators/figures.rs
@@ -0,0 +1,66 @@
+//! The figures, in the text form that Prometheus reads. What they count is kept by the core.
+
+use crate::clients::Shared;
+use crate::core::Tally;
+use std::fmt::{Display, Write as _};
+
+/// The figures' names begin with this.
+const PREFIX: &str = "router_";
+
+/// A label's value as the form wants it.
+fn escaped(value: &str) -> String {
+    value.replace('\\', "\\\\").replace('"', "\\\"").replace('\n', "\\n")
+}
+
+/// A figure of a class: its name, what it is, and where it stands.
+type Figure = (&'static str, &'static str, fn(&Tally) -> u64);
+
+struct Page(String);
+
+impl Page {
+    /// What a figure is.
+    fn about(&mut self, name: &str, kind: &str, help: &str) {
+        // Writing to a string cannot fail.
+        let _ = writeln!(self.0, "# HELP {PREFIX}{name} {help}\n# TYPE {PREFIX}{name} {kind}");
+    }
+
+    fn one(&mut self, name: &str, kind: &str, help: &str, value: impl Display) {
+        self.about(name, kind, help);
+        let _ = writeln!(self.0, "{PREFIX}{name} {value}");
+    }
+}
+
+/// All figures now.
+pub fn text(shared: &Shared) -> String {
+    let (core, mut page) = (&shared.core, Page(String::new()));
+    let tallies = core.tallies();
+    let by_class: [Figure; 4] = [
+        ("success", "Requests served whole.", |tally| tally.served),
+        ("overload", "Requests refused; trying again is harmless.", |tally| tally.refused),
+        ("error", "Requests failed, broken answers among them.", |tally| tally.failed),
+        ("abandoned", "Requests whose client left before the end.", |tally| tally.left),
+    ];
+    for (name, help, count) in by_class {
+        page.about(name, "counter", help);
+        for (class, tally) in core.names().classes.iter().zip(&tallies) {
+            let _ = writeln!(page.0, "{PREFIX}{name}{{type=\"{}\"}} {}", escaped(class), count(tally));
+        }
+    }
+    let (reloads, failed) = shared.reloads.get();
+    let (targets, disabled) = core.targets();
+    page.one("dispatches", "counter", "Attempts written whole to workers.", core.dispatches());
+    page.one("concurrent", "gauge", "Requests taken and not ended.", core.concurrent());
+    page.one("targets", "gauge", "Workers in the list.", targets);
+    page.one("targets_disabled", "gauge", "Listed workers that get nothing now.", disabled);
+    page.one("reload_success", "counter", "Configurations taken over on SIGHUP.", reloads);
+    page.one("reload_failure", "counter", "Configurations turned down on SIGHUP.", failed);
+    page.0
+}
+
+#[cfg(test)]
+mod tests {
+    #[test]
+    fn label_values_cannot_end_their_quotes() {
+        assert_eq!(super::escaped("a\"b\\c\nd"), "a\\\"b\\\\c\\nd");
+    }
+}
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -45,7 +45,7 @@
 impl Fleet {
     /// With so many connections at most.
     pub fn new(core: Rc<Core>, links: shedrelay_settings::Links, sockets: usize) -> Rc<Self> {
-        let pool = Pool::new(links, sockets);
+        let pool = Pool::new(links, sockets, core.dispatch_counter());
         pool.clone().sweep();
         Rc::new(Fleet { core, pool })
     }
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -57,6 +57,8 @@
     spoilt: Cell<Option<Spoilt>>,
     code: Cell<&'static str>,
     server: RefCell<Option<Rc<Server>>>,
+    /// Attempts written whole, on all connections.
+    dispatches: Rc<Cell<u64>>,
 }
 
 /// A body that notes when it has been handed over whole.
@@ -200,7 +202,10 @@
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
         if this.meter.body_done.get() && this.meter.begun.get() {
-            this.meter.written.set(true);
+            // A release counts as no attempt: it has no server to tell of.
+            if !this.meter.written.replace(true) && this.meter.server.borrow().is_some() {
+                this.meter.dispatches.set(this.meter.dispatches.get() + 1);
+            }
         }
         Pin::new(&mut this.stream).poll_flush(cx)
     }
@@ -327,13 +332,22 @@
     links: Links,
     strikes: Cell<f64>,
     trust: Cell<Duration>,
+    dispatches: Rc<Cell<u64>>,
 }
 
 impl Pool {
-    /// With so many connections at most.
-    pub fn new(links: Links, most: usize) -> Rc<Self> {
+    /// With so many connections at most; counts the attempts written whole.
+    pub fn new(links: Links, most: usize, dispatches: Rc<Cell<u64>>) -> Rc<Self> {
         let (strikes, trust) = (Cell::new(0.0), Cell::new(longest_idle(links)));
-        Rc::new(Pool { idle: RefCell::default(), open: Rc::default(), most, links, strikes, trust })
+        Rc::new(Pool {
+            idle: RefCell::default(),
+            open: Rc::default(),
+            most,
+            links,
+            strikes,
+            trust,
+            dispatches,
+        })
     }
 
     /// A connection broke at once when it was used again after so long.
@@ -358,7 +372,8 @@
             let oldest = oldest.min_by_key(|lanes| lanes[0].idle_since)?;
             oldest.remove(0).closing("evicted");
         }
-        let (address, meter) = (server.address, Rc::<Meter>::default());
+        let meter = Rc::new(Meter { dispatches: self.dispatches.clone(), ..Meter::default() });
+        let address = server.address;
         let dial = Dial { address, meter: meter.clone(), open: self.open.clone() };
         let connector = awc::Connector::new()
             .connector(dial)
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -62,13 +63,31 @@
     Some(format!("{first}\r\n{}\r\n\r\n{body}", fields.join("\r\n")))
 }
 
-struct Stage {
+/// A started program and its log.
+#[derive(Default)]
+struct Running {
     program: Option<Child>,
     log: Option<Receiver<String>>,
     lines: Vec<String>,
+}
+
+impl Running {
+    fn end(&mut self) {
+        if let Some(mut program) = self.program.take() {
+            let _ = program.kill();
+            let _ = program.wait();
+        }
+    }
+}
+
+struct Stage {
+    running: Running,
+    /// The one that was started before, beside it.
+    other: Running,
+    /// The clients' socket, where the platform holds it.
+    door: TcpListener,
     listeners: HashMap<String, TcpListener>,
     peers: HashMap<String, Peer>,
-    clients: HashMap<String, String>,
     folder: PathBuf,
     within: Option<Instant>,
 }
@@ -79,8 +98,10 @@
         std::fs::create_dir_all(&folder).unwrap();
         let listen = |name: &str| (name.to_owned(), TcpListener::bind("127.0.0.1:0").unwrap());
         let listeners = ["d", "e", "r1", "r2", "w1", "w2"].map(listen).into();
-        let (peers, clients) = (HashMap::new(), HashMap::new());
-        Stage { program: None, log: None, lines: Vec::new(), listeners, peers, clients, folder, within: None }
+        let peers = HashMap::new();
+        let (running, other) = Default::default();
+        let door = TcpListener::bind("127.0.0.1:0").unwrap();
+        Stage { running, other, door, listeners, peers, folder, within: None }
     }
 
     /// Fills in the addresses of servers.
@@ -103,6 +124,7 @@
     }
 
     fn start(&mut self, arguments: &str, body: &str) {
+        std::mem::swap(&mut self.running, &mut self.other);
         let (config, openai) = (self.folder.join("config.json"), self.folder.join("openai.toml"));
         std::fs::write(&config, self.configured(arguments, body)).unwrap();
         let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
@@ -116,13 +138,21 @@
         let few = arguments.split_whitespace().find_map(|argument| argument.strip_prefix("ulimit:"));
         let mut command = Command::new("sh");
         let limit = few.map_or_else(String::new, |few| format!("ulimit -n {few} && "));
-        command.args(["-c", &format!("{limit}exec \"$0\" \"$@\""), env!("CARGO_BIN_EXE_fawnstream")]);
+        // `fd:3`: the program inherits the clients' socket as this descriptor; `fd:9` is none.
+        let fd = arguments.split_whitespace().find_map(|argument| argument.strip_prefix("fd:"));
+        let inherit = fd.map_or("", |_| "exec 3<&0 0</dev/null && ");
+        command.args([
+            "-c",
+            &format!("{limit}{inherit}exec \"$0\" \"$@\""),
+            env!("CARGO_BIN_EXE_fawnstream"),
+        ]);
         command
             .env_clear()
             .env("PROXY_CONFIG", config)
             .env("FAWNSTREAM_KEY", "open sesame")
             .stderr(Stdio::piped())
-            .stdin(Stdio::null());
+            .stdin(fd.map_or_else(Stdio::null, |_| OwnedFd::from(self.door.try_clone().unwrap()).into()));
+        command.envs(fd.map(|fd| ("PROXY_FD", fd)));
         command.args(arguments.split_whitespace().filter(|argument| !argument.contains(['=', ':'])).map(
             |word| match word {
                 "FILE" => openai.clone().into_os_string(),
@@ -135,7 +165,7 @@
         let (told, log) = channel();
         let stderr = BufReader::new(program.stderr.take().unwrap());
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
-        (self.program, self.log) = (Some(program), Some(log));
+        self.running = Running { program: Some(program), log: Some(log), lines: Vec::new() };
     }
 
     /// Waits for a line of the log in which the pattern matches somewhere.
@@ -145,17 +175,24 @@
         };
         let until = Instant::now() + PATIENCE;
         loop {
-            if let Some(line) = self.lines.iter().find(found) {
+            if let Some(line) = self.running.lines.iter().find(found) {
                 return line.clone();
             }
             let left = until.saturating_duration_since(Instant::now());
-            match self.log.as_ref().unwrap().recv_timeout(left) {
-                Ok(line) => self.lines.push(line),
-                Err(_) => panic!("no line `{pattern}` in the log:\n{}", self.lines.join("\n")),
+            match self.running.log.as_ref().unwrap().recv_timeout(left) {
+                Ok(line) => self.running.lines.push(line),
+                Err(_) => panic!("no line `{pattern}` in the log:\n{}", self.running.lines.join("\n")),
             }
         }
     }
 
+    /// What the log has said so far.
+    fn all_lines(&mut self) -> &[String] {
+        let Running { log, lines, .. } = &mut self.running;
+        lines.extend(log.as_ref().unwrap().try_iter());
+        lines
+    }
+
     fn peer(&mut self, name: &str) -> &mut Peer {
         if !self.peers.contains_key(name) {
             let server = name.split('.').next().unwrap();
@@ -173,10 +210,13 @@
                 stream.set_nonblocking(false).unwrap();
                 Peer::new(stream)
             } else {
-                let front = if name.starts_with('o') { "openai listen=" } else { "started {*}listen=" };
+                let front = match name.as_bytes()[0] {
+                    b'o' => "openai listen=",
+                    b'm' => "operators listen=",
+                    _ => "started {*}listen=",
+                };
                 let line = self.wait_log(front);
                 let address = line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().to_owned();
-                self.clients.insert(name.to_owned(), address.clone());
                 Peer::new(TcpStream::connect(address).unwrap())
             };
             self.peers.insert(name.to_owned(), peer);
@@ -193,15 +233,33 @@
         match verb {
             "start" => self.start(rest, body),
             "log" => drop(self.wait_log(rest)),
+            // The steps that follow are about the other one of two programs.
+            "swap" => std::mem::swap(&mut self.running, &mut self.other),
+            // Operators find this figure, soon.
+            "figure" => {
+                let (wanted, until) = (format!("router_{rest}"), self.until());
+                loop {
+                    self.peers.remove("metrics");
+                    let peer = self.peer("metrics");
+                    peer.stream.write_all(b"GET /status/metrics HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+                    while peer.read() {}
+                    let seen = String::from_utf8(std::mem::take(&mut peer.seen)).unwrap();
+                    if seen.lines().any(|line| line == wanted) {
+                        break;
+                    }
+                    assert!(Instant::now() < until, "wanted {wanted}, got\n{seen}");
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            }
             "once" => {
                 self.wait_log(rest);
-                self.lines.extend(self.log.as_ref().unwrap().try_iter());
-                let times = self.lines.iter().filter(|line| line.contains(rest)).count();
-                assert_eq!(times, 1, "`{rest}` in\n{}", self.lines.join("\n"));
+                let lines = self.all_lines();
+                let times = lines.iter().filter(|line| line.contains(rest)).count();
+                assert_eq!(times, 1, "`{rest}` in\n{}", lines.join("\n"));
             }
             "never" => {
-                self.lines.extend(self.log.as_ref().unwrap().try_iter());
-                assert!(!self.lines.iter().any(|line| line.contains(rest)), "{}", self.lines.join("\n"));
+                let lines = self.all_lines();
+                assert!(!lines.iter().any(|line| line.contains(rest)), "{}", lines.join("\n"));
             }
             "kept" => {
                 let listener = &self.listeners[rest];
@@ -213,7 +271,7 @@
             "shut" => drop(self.listeners.remove(rest)),
             "pause" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
             "term" | "hup" => {
-                let id = self.program.as_ref().unwrap().id().to_string();
+                let id = self.running.program.as_ref().unwrap().id().to_string();
                 let kill = format!("kill -{} {id}", verb.to_uppercase());
                 assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
             }
@@ -228,9 +286,9 @@
                 std::fs::rename(new, config).unwrap();
             }
             "exit" => {
-                let status = self.program.as_mut().unwrap().wait().unwrap();
+                let status = self.running.program.as_mut().unwrap().wait().unwrap();
                 assert_eq!(status.code().map(|code| code.to_string()).as_deref(), Some(rest));
-                self.program = None;
+                self.running.program = None;
             }
             "send" => {
                 let size = body.split_once("\r\n\r\n").map_or(0, |(_, body)| body.len());
@@ -332,16 +390,11 @@
 
 impl Drop for Stage {
     fn drop(&mut self) {
-        if std::thread::panicking()
-            && let Some(log) = &self.log
-        {
-            self.lines.extend(log.try_iter());
-            println!("the log:\n{}", self.lines.join("\n"));
-        }
-        if let Some(mut program) = self.program.take() {
-            let _ = program.kill();
-            let _ = program.wait();
+        if std::thread::panicking() && self.running.log.is_some() {
+            println!("the log:\n{}", self.all_lines().join("\n"));
         }
+        self.running.end();
+        self.other.end();
     }
 }
 
@@ -400,7 +453,7 @@
         let name = told.next().unwrap();
         let part = named.get(name).unwrap_or_else(|| panic!("no `{name}`")).to_string();
         let told = told.filter_map(|word| word.split_once('='));
-        told.fold(part, |part, (word, value)| part.replace(&format!("{{{word}}}"), value))
+        told.fold(part, |part, (word, value)| part.replace(&format!("{{{word}}}"), &value.replace('~', " ")))
             .lines()
             .for_each(&mut read);
     }
@@ -408,7 +461,7 @@
         let rest = stage.filled(&rest);
         stage.step(&verb, &rest, &body);
     }
-    let outcomes = stage.lines.iter().filter(|line| line.contains(" outcome="));
+    let outcomes = stage.running.lines.iter().filter(|line| line.contains(" outcome="));
     let tail =
         |line: &String| line[line.find("class=").unwrap()..line.find(" first_ms=").unwrap()].to_owned();
     outcomes.map(tail).collect()
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -332,6 +332,12 @@
         }
     }
 
+    /// How many listed servers get nothing now: they drain, or were silent, unreachable or full of late.
+    pub fn avoided(&self, now: Time) -> usize {
+        let listed = self.servers.values().filter(|server| server.member.state != ServerState::Left);
+        listed.filter(|server| !server.usable(now)).count()
+    }
+
     // The list of servers.
 
     fn follow_list(&mut self, members: Members, out: &mut Vec<Action>) {
