Hand streams that outlast the old process over to the one that took the socket

Ruled out: the door (0 requests ended there), resets on kept connections (0), failing servers.

Change: router/src/handover.rs offers such a stream with its two connections over a Unix socket in $TMPDIR; the new process relays it through the same exchange, checks and counting.

Tests: four recordings with two and three processes, and the exchange of offers: torn, of another version, too long, without connections, without the last word.

--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -2,6 +2,7 @@
 //! much is read of it. actix-http bounds neither the time of a body or of a later head nor, to less than 128 KiB,
 //! what it takes in; and while a request is under way it reads on without a pause. Both are guarded against here.
 
+use crate::exchange::Surrender;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -54,8 +55,10 @@
     pub away: Cell<bool>,
     /// It ends as soon as nothing unread stands on it.
     pub leave: Cell<bool>,
-    /// An answer is out while its client is sent away.
+    /// An answer is out while its client is sent away, or its connection is asked for.
     pub free: Notify,
+    /// Who asks for the connection, to go on with its answer elsewhere.
+    pub surrender: RefCell<Option<Surrender>>,
     /// The socket, once the server library has let go of it.
     pub socket: RefCell<Option<TcpStream>>,
     /// Its last answer was an error after which nothing is read: out already, or about to be.
@@ -85,6 +88,7 @@
             away: Cell::new(false),
             leave: Cell::new(false),
             free: Notify::new(),
+            surrender: RefCell::default(),
             socket: RefCell::default(),
             over: Cell::default(),
             stuck: Cell::new(None),
@@ -109,6 +113,19 @@
         self.busy.get() == 0
     }
 
+    /// Its answer's bytes are all with the system, and its client has sent nothing behind its request: the connection
+    /// can go on elsewhere.
+    pub fn quiet(&self) -> bool {
+        let written = self.stuck.get().is_none() && !self.ended.get() && self.over.get() == Over::No;
+        written && self.busy.get() == 1 && self.whole.get() && self.bytes.get() == 0
+    }
+
+    /// Asks for the connection.
+    pub fn ask(&self, surrender: Surrender) {
+        self.surrender.replace(Some(surrender));
+        self.free.notify_one();
+    }
+
     /// Part of a head came.
     pub fn begun(&self) -> bool {
         self.idle() && self.bytes.get() > 0
--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -91,6 +91,19 @@
         }
     }
 
+    /// Whether one more connection of another process can be taken over.
+    pub fn takes_over(&self) -> bool {
+        self.open() < self.most && self.life.phase() != Phase::Stopping
+    }
+
+    /// Notes a connection that did not come through the door, until the guard goes.
+    pub fn enter(self: &Rc<Self>, conn: &Rc<Conn>) -> Entered {
+        let number = self.last.get() + 1;
+        self.last.set(number);
+        self.conns.borrow_mut().insert(number, conn.clone());
+        Entered { shared: self.clone(), number }
+    }
+
     /// Ends so many connections without a request under way, as far as there are any.
     pub fn evict_some(&self, most: usize) {
         let _ = (0..most).all(|_| self.evict());
@@ -132,6 +145,18 @@
     }
 }
 
+/// A connection's place among those that are open.
+pub struct Entered {
+    shared: Rc<Shared>,
+    number: u64,
+}
+
+impl Drop for Entered {
+    fn drop(&mut self) {
+        self.shared.conns.borrow_mut().remove(&self.number);
+    }
+}
+
 /// A part of the memory that all bodies may take together; goes back by itself.
 pub struct Held {
     bytes: usize,
@@ -207,13 +232,11 @@
                 let _ = stream.set_nodelay(true);
                 let conn = Conn::new();
                 let served = handler.call((Wire::new(stream, conn.clone()), Some(peer)));
-                let number = shared.last.get() + 1;
-                shared.last.set(number);
-                shared.conns.borrow_mut().insert(number, conn.clone());
+                let entered = shared.enter(&conn);
                 let shared = shared.clone();
                 actix_rt::spawn(async move {
                     let code = follow(served, &conn, &shared).await;
-                    shared.conns.borrow_mut().remove(&number);
+                    drop(entered);
                     log!(
                         "connection peer=client address={peer} code={code} requests={}",
                         conn.requests.get()
@@ -255,7 +278,17 @@
             end = &mut served => break code(&end, conn, shared.life.phase()),
             () = conn.evict.notified() => break "evicted",
             _ = life.changed() => {}
-            () = conn.free.notified() => {}
+            () = conn.free.notified() => {
+                let asked = conn.surrender.take().filter(|asked| !asked.is_void() && conn.quiet());
+                if let Some(asked) = asked {
+                    asked.begin();
+                    drop(served);
+                    if let Some(socket) = conn.socket.take() {
+                        asked.give(socket);
+                    }
+                    return "handed-over";
+                }
+            }
             () = actix_rt::time::sleep_until(look.into()) => {
                 if conn.stuck() {
                     break "slow-client";
@@ -290,7 +323,7 @@
 
 /// Ends a connection on which the client may still be sending: the answer goes out, then the sending side is
 /// closed, and what still comes is thrown away for a while.
-async fn linger(mut socket: TcpStream, answer: &[u8]) {
+pub async fn linger(mut socket: TcpStream, answer: &[u8]) {
     let all = async {
         let _ = socket.write_all(answer).await;
         let _ = socket.shutdown().await;
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,7 +1,8 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
 use super::{
-    Answer, Bad, Body, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds, untaken,
+    Answer, Bad, Body, Conn, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
+    untaken,
 };
 use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
@@ -78,11 +79,16 @@
         }
     };
     match end.opening().await {
-        Opening::Stream => Response::build(StatusCode::OK)
-            .insert_header((CONTENT_TYPE, "text/event-stream"))
-            .insert_header((CACHE_CONTROL, "no-cache"))
-            .body(Answer::new(end, Unchanged, busy))
-            .map_into_boxed_body(),
+        Opening::Stream => {
+            if let Some(conn) = request.conn_data::<Rc<Conn>>().cloned() {
+                end.on_surrender(move |asked| conn.ask(asked));
+            }
+            Response::build(StatusCode::OK)
+                .insert_header((CONTENT_TYPE, "text/event-stream"))
+                .insert_header((CACHE_CONTROL, "no-cache"))
+                .body(Answer::new(end, Unchanged, busy))
+                .map_into_boxed_body()
+        }
         Opening::Refused(after) => {
             let mut response = Response::new(StatusCode::SERVICE_UNAVAILABLE);
             if let Some(after) = after.and_then(seconds) {
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 
 /// An answer is due so long before the client gives up: it has to get there, and the client's clock started
@@ -128,7 +129,7 @@
 
 struct Open {
     exchange: Rc<Exchange>,
-    _overdue: Alarm,
+    _overdue: Option<Alarm>,
     deadline: Instant,
     attempts: u32,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
@@ -146,6 +147,9 @@
     left: bool,
 }
 
+/// Goes on with a client's connection by itself.
+type Bare = Rc<dyn Fn(ClientEnd, TcpStream)>;
+
 /// See the module's page.
 pub struct Core {
     router: RefCell<Router>,
@@ -155,6 +159,8 @@
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
     servers: RefCell<Option<Rc<dyn Servers>>>,
+    /// Who goes on with a client's connection that was given up.
+    bare: RefCell<Option<Bare>>,
     /// One for each class: a class that is not known adds none.
     tallies: RefCell<Vec<Tally>>,
     dispatches: Rc<Cell<u64>>,
@@ -183,6 +189,7 @@
             labels: RefCell::default(),
             list: RefCell::default(),
             servers: RefCell::default(),
+            bare: RefCell::default(),
             tallies,
             dispatches: Rc::default(),
             born: Instant::now(),
@@ -197,6 +204,24 @@
         *self.servers.borrow_mut() = Some(servers);
     }
 
+    /// Connects the clients' side, for connections that were given up.
+    pub fn connect_bare(&self, clients: impl Fn(ClientEnd, TcpStream) + 'static) {
+        *self.bare.borrow_mut() = Some(Rc::new(clients));
+    }
+
+    /// Goes on with a client's connection that was given up.
+    pub fn bare(&self, end: ClientEnd, socket: TcpStream) {
+        let bare = self.bare.borrow().clone();
+        if let Some(bare) = bare {
+            bare(end, socket);
+        }
+    }
+
+    /// A class's name.
+    pub fn class_name(&self, class: ClassId) -> &str {
+        self.names.classes.get(class.0).map_or("-", |name| name)
+    }
+
     /// Names used on the wire.
     pub fn names(&self) -> &shedrelay_settings::Names {
         &self.names
@@ -377,7 +402,7 @@
         }));
         let open = Open {
             exchange: exchange.clone(),
-            _overdue: overdue,
+            _overdue: Some(overdue),
             deadline,
             attempts: 0,
             current: None,
@@ -414,6 +439,67 @@
         self.settle(id);
     }
 
+    /// Goes on with a stream that another process began: it is open here until it ends, counts as any other, and the
+    /// module, which has not sent it, is not asked about it. None if its id is in use.
+    pub fn carry(
+        &self,
+        exchange: Rc<Exchange>,
+        label: &str,
+        address: SocketAddr,
+    ) -> Option<(Order, ClientEnd)> {
+        if self.labels.borrow().contains_key(&exchange.call.label) {
+            return None;
+        }
+        let request = RequestId(self.last.get() + 1);
+        self.last.set(request.0);
+        let known = self.list.borrow().values().find(|server| server.label == label).cloned();
+        let server = known.filter(|server| server.address == address).unwrap_or_else(|| {
+            Rc::new(Server { label: label.to_owned(), address, role: Role::Writer, told: Cell::new(None) })
+        });
+        self.labels.borrow_mut().insert(exchange.call.label.clone(), request);
+        let (stop, stopped) = oneshot::channel();
+        let now = Instant::now();
+        let open = Open {
+            exchange: exchange.clone(),
+            _overdue: None,
+            deadline: now,
+            attempts: 1,
+            current: Some((server.clone(), Some(stop))),
+            reader: None,
+            owed: None,
+            sent: None,
+            read: None,
+            first: None,
+            started: true,
+            answered: true,
+            left: false,
+        };
+        self.open.borrow_mut().insert(request, open);
+        let end = self.client_again(request, &exchange);
+        let attempt = Attempt(0);
+        let order = Order { exchange, request, attempt, server, until: now, deadline: now, stop: stopped };
+        Some((order, end))
+    }
+
+    /// A new client's end for a stream whose client's connection was given up.
+    pub fn client_again(&self, request: RequestId, exchange: &Rc<Exchange>) -> ClientEnd {
+        let me = self.me.clone();
+        ClientEnd::again(exchange.clone(), move || {
+            if let Some(core) = me.upgrade() {
+                core.gone(request);
+            }
+        })
+    }
+
+    /// A stream goes on in another process, which counts it.
+    pub fn handed(&self, request: RequestId, attempt: Attempt) {
+        let Some(open) = self.open.borrow_mut().remove(&request) else { return };
+        self.labels.borrow_mut().remove(&open.exchange.call.label);
+        log!("request id={} outcome=handed-over", open.exchange.call.label);
+        let (verdict, settled) = (Verdict::Ok, true);
+        self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept: None, report: None }));
+    }
+
     /// The module never leaves a request so long; if it does, the client still gets its answer.
     fn overdue(&self, id: RequestId) {
         let late = self.open.borrow().get(&id).is_some_and(|open| !open.answered);
@@ -535,7 +621,7 @@
         log!(
             "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={}",
             call.label,
-            self.names.classes.get(call.class.0).map_or("-", |name| name),
+            self.class_name(call.class),
             outcome,
             open.attempts,
             ms(open.first),
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -6,13 +6,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::future::poll_fn;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Poll, Waker};
 use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 
 /// Bytes of an answer that may wait for a slow client; past this its server is not read from.
 const MOST_WAITING: usize = 64 * 1024;
 
+/// The client's side gives its connection up in this time, or keeps it.
+const SURRENDER: Duration = Duration::from_millis(100);
+
 /// A request as the core sees it.
 pub struct Call {
     /// Its id, as servers and the log know it.
@@ -43,6 +48,29 @@
     pub _held: Option<Box<dyn std::any::Any>>,
 }
 
+impl Call {
+    /// A request whose answer another process began: all that is left to know of it.
+    pub fn carried(label: String, class: Option<ClassId>, age: Duration) -> Self {
+        let now = Instant::now();
+        Call {
+            label,
+            session: None,
+            prefix: None,
+            prefix_len: 0.0,
+            prompt_len: 0.0,
+            max_out: 0.0,
+            // A class that is not known here counts nowhere.
+            class: class.unwrap_or(ClassId(usize::MAX)),
+            tenant: None,
+            arrived: now.checked_sub(age).unwrap_or(now),
+            budget: Duration::ZERO,
+            target: String::new(),
+            body: Bytes::new(),
+            _held: None,
+        }
+    }
+}
+
 /// How an answer begins.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Opening {
@@ -82,6 +110,36 @@
     state: RefCell<State>,
     left: Cell<bool>,
     on_leave: RefCell<Option<Box<dyn FnOnce()>>>,
+    on_surrender: RefCell<Option<OnSurrender>>,
+}
+
+/// Hears that the client's connection is asked for.
+type OnSurrender = Box<dyn Fn(Surrender)>;
+
+/// How the client's side gives its connection up, once nothing of the answer waits there any more. Dropping it says
+/// that it does not.
+pub struct Surrender {
+    socket: oneshot::Sender<TcpStream>,
+    exchange: Weak<Exchange>,
+}
+
+impl Surrender {
+    /// Nobody waits for it any more.
+    pub fn is_void(&self) -> bool {
+        self.socket.is_closed()
+    }
+
+    /// From here on the client's end of the exchange may be dropped: its client has not left.
+    pub fn begin(&self) {
+        if let Some(exchange) = self.exchange.upgrade() {
+            exchange.on_leave.take();
+        }
+    }
+
+    /// The connection.
+    pub fn give(self, socket: TcpStream) {
+        let _ = self.socket.send(socket);
+    }
 }
 
 impl Exchange {
@@ -92,6 +150,7 @@
             state: RefCell::default(),
             left: Cell::new(false),
             on_leave: RefCell::default(),
+            on_surrender: RefCell::default(),
         })
     }
 
@@ -135,6 +194,20 @@
         Ok(())
     }
 
+    /// The client's connection, out of the hands of its side, if all that was pushed is out. The answer goes on
+    /// elsewhere, or here with [`ClientEnd::again`].
+    pub async fn surrender(self: &Rc<Self>) -> Option<TcpStream> {
+        if !self.state.borrow().waiting.is_empty() || self.left.get() {
+            return None;
+        }
+        let (socket, given) = oneshot::channel();
+        {
+            let hook = self.on_surrender.borrow();
+            hook.as_ref()?(Surrender { socket, exchange: Rc::downgrade(self) });
+        }
+        actix_rt::time::timeout(SURRENDER, given).await.ok()?.ok()
+    }
+
     /// The answer ends, whole or not.
     pub fn close(&self, whole: bool) {
         let mut state = self.state.borrow_mut();
@@ -156,6 +229,18 @@
 }
 
 impl ClientEnd {
+    /// A new end for an answer whose client's connection was given up; `hear` runs if the client leaves.
+    pub fn again(exchange: Rc<Exchange>, hear: impl FnOnce() + 'static) -> Self {
+        exchange.left.set(false);
+        exchange.on_leave(hear);
+        ClientEnd::new(exchange)
+    }
+
+    /// How to ask this side for its connection.
+    pub fn on_surrender(&self, hook: impl Fn(Surrender) + 'static) {
+        *self.exchange.on_surrender.borrow_mut() = Some(Box::new(hook));
+    }
+
     /// The client's end of this exchange.
     pub fn new(exchange: Rc<Exchange>) -> Self {
         ClientEnd { exchange, taken: false }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -6,6 +6,7 @@
 mod config;
 mod core;
 mod exchange;
+mod handover;
 mod life;
 mod list;
 mod log;
@@ -26,6 +27,9 @@
 /// A router whose list names no servers that can serve takes clients after this time all the same: it refuses them,
 /// which is better than to leave them waiting.
 const STARTING: Duration = Duration::from_secs(4);
+/// SIGKILL follows SIGTERM no sooner than the longest time that a client waits, counted as this much where it is
+/// longer, and 0.7 s: streams that are still open then go to the next process in that last part.
+const KILLED: Duration = Duration::from_secs(3);
 /// The longest wait for answers under way; the platform kills what is left.
 const LAST_ANSWERS: Duration = Duration::from_secs(60);
 
@@ -81,7 +85,10 @@
     let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM".to_owned()))?;
     let config = Config::load(inherited.is_some())?;
     let core = core::Core::new(config.settings, config.names, config.seed)?;
-    core.connect(servers::Fleet::new(core.clone(), config.links, config.server_sockets));
+    let inherits = inherited.is_some();
+    let handover = handover::Handover::new(inherits);
+    let fleet = servers::Fleet::new(core.clone(), config.links, config.server_sockets, handover.clone());
+    core.connect(fleet.clone());
     let from = config.known.as_ref().map_or(0, |known| known.revision);
     if let Some(known) = config.known {
         core.listed(known.update());
@@ -94,8 +101,18 @@
         Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
         None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, hear))),
     }
-    let inherits = inherited.is_some();
     let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes, inherits);
+    let clients = shared.clone();
+    let bare = move |end, socket| {
+        actix_rt::spawn(clients::carried::write(clients.clone(), end, socket));
+    };
+    core.connect_bare(bare.clone());
+    // Bound before this process takes clients: the one before it is told to end from then on.
+    if let Some(listener) = handover.listen() {
+        let room = shared.clone();
+        let take = move |carried| fleet.carry(carried, bare.clone());
+        actix_rt::spawn(handover::serve(listener, move || room.takes_over(), take));
+    }
     // First of all listeners: operators may ask, and drain, before there is a list.
     if let Some(address) = config.mgmt {
         let at = |what: &str| io(format!("{what} on {address}"));
@@ -140,6 +157,11 @@
     }
     log!("stopping requests={} connections={}", core.busy(), shared.open());
     shared.life.tell(Event::Stop);
+    let late = config.links.longest_wait.map_or(KILLED, |wait| Duration::from_nanos(wait.0).min(KILLED));
+    actix_rt::spawn(async move {
+        actix_rt::time::sleep(late).await;
+        handover.begin();
+    });
     actix_rt::time::sleep(STILL_OPEN).await;
     let last = Instant::now() + LAST_ANSWERS;
     while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -5,7 +5,8 @@
 mod link;
 
 use crate::core::{Core, Ended, Order, Server};
-use crate::exchange::Left;
+use crate::exchange::{Call, ClientEnd, Exchange, Left};
+use crate::handover::{Carried, Form, Framing, Handover, Stays, Text};
 use crate::log;
 use crate::sse;
 use actix_http::error::ParseError;
@@ -15,21 +16,26 @@
 use awc::http::header::CONTENT_TYPE;
 use bytes::{Bytes, BytesMut};
 use futures_core::Stream;
-use link::{Lane, Pool};
+use link::{Lane, Pool, Raw};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use shedrelay::{Report, RequestId, Role, Verdict};
+use shedrelay::{Attempt, ClassId, Report, RequestId, Role, Verdict};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpStream;
 
 /// A body that is no stream is read up to this size and for this long, so that its connection can be used again.
 const SMALL_BODY: usize = 16 * 1024;
 const SMALL_BODY_TIME: Duration = Duration::from_millis(100);
 /// A stream that says nothing for so long has a dead server: nothing else ends it when a machine vanishes, and its
 /// client must not be left waiting for 5 s.
-const STALL: Duration = Duration::from_secs(4);
+pub const STALL: Duration = Duration::from_secs(4);
+/// A stream that nobody took is offered again after this time.
+const OFFER_AGAIN: Duration = Duration::from_millis(100);
+/// No request is older than this.
+const LONGEST_AGE_MS: u64 = 3_600_000;
 /// A connection that breaks in this time after it was used again was broken before.
 const AT_ONCE: Duration = Duration::from_millis(100);
 /// One try of a release, and how many there are: all together well under the time that a state may be held.
@@ -40,34 +46,71 @@
 pub struct Fleet {
     core: Rc<Core>,
     pool: Rc<Pool>,
+    handover: Rc<Handover>,
 }
 
 impl Fleet {
     /// With so many connections at most.
-    pub fn new(core: Rc<Core>, links: shedrelay_settings::Links, sockets: usize) -> Rc<Self> {
+    pub fn new(
+        core: Rc<Core>,
+        links: shedrelay_settings::Links,
+        sockets: usize,
+        handover: Rc<Handover>,
+    ) -> Rc<Self> {
         let pool = Pool::new(links, sockets, core.dispatch_counter());
         pool.clone().sweep();
-        Rc::new(Fleet { core, pool })
+        Rc::new(Fleet { core, pool, handover })
+    }
+
+    /// Goes on with a stream that another process began, once what this returns is called; until then nothing of it
+    /// is touched. `clients` is given the client's end and its connection. None if there is no room for it, or if it
+    /// makes no sense.
+    pub fn carry(
+        self: &Rc<Self>,
+        carried: Carried,
+        clients: impl FnOnce(ClientEnd, TcpStream) + 'static,
+    ) -> Option<Box<dyn FnOnce()>> {
+        let Carried { form, client, server } = carried;
+        let raw = Raw::new(server, form.framing, self.pool.carried()?)?;
+        let tail = Tail::resume(form.event.0, form.done, form.kept)?;
+        let class = self.core.names().classes.iter().position(|class| *class == form.class);
+        let age = Duration::from_millis(form.age_ms.min(LONGEST_AGE_MS));
+        let call = Call::carried(form.label, class.map(ClassId), age);
+        let exchange = Exchange::new(call);
+        let fleet = self.clone();
+        Some(Box::new(move || {
+            let Some((order, end)) = fleet.core.carry(exchange, &form.server, form.address) else {
+                return log!("handover dropped reason=twice");
+            };
+            clients(end, client);
+            actix_rt::spawn(async move {
+                let (request, attempt) = (order.request, order.attempt);
+                let mut way = Way { core: &fleet.core, pool: &fleet.pool, handover: &fleet.handover };
+                let ended = way.go_on(order, raw, tail).await;
+                way.tell(request, attempt, ended);
+            });
+        }))
     }
 }
 
 impl crate::core::Servers for Fleet {
     fn send(&self, order: Order) {
-        let (core, pool) = (self.core.clone(), self.pool.clone());
+        let (core, pool, handover) = (self.core.clone(), self.pool.clone(), self.handover.clone());
         actix_rt::spawn(async move {
             let (request, attempt) = (order.request, order.attempt);
+            let mut way = Way { core: &core, pool: &pool, handover: &handover };
             let Some(lane) = pool.take(&order.server) else {
                 return core.ended(request, attempt, Ended::unsent("no-sockets"));
             };
             let idle = lane.idle();
             let sent = Instant::now();
-            let ended = Ended { idle, ..run(&core, &pool, order, lane).await };
-            if let (Some(idle), "reset" | "closed") = (idle, ended.reason)
+            let ended = run(&mut way, order, lane).await.map(|ended| Ended { idle, ..ended });
+            if let (Some(idle), Some("reset" | "closed")) = (idle, ended.as_ref().map(|ended| ended.reason))
                 && sent.elapsed() < AT_ONCE
             {
                 pool.distrust(idle);
             }
-            core.ended(request, attempt, ended);
+            way.tell(request, attempt, ended);
         });
     }
 
@@ -115,6 +158,13 @@
 struct Garbage;
 
 impl Tail {
+    /// Goes on where another process stood. None if that is larger than any event.
+    fn resume(held: Vec<u8>, done: bool, kept: Option<f64>) -> Option<Self> {
+        let seen = held.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
+        let fits = held.len() <= LARGEST_EVENT;
+        fits.then(|| Tail { held: BytesMut::from(held.as_slice()), seen, done, kept, report: None })
+    }
+
     /// The events that this piece makes whole, as they came.
     fn feed(&mut self, piece: &[u8]) -> Result<Bytes, Garbage> {
         self.held.extend_from_slice(piece);
@@ -184,8 +234,157 @@
     value.pointer("/usage/prompt_tokens_details/cached_tokens")?.as_f64()
 }
 
-/// One attempt from its send to its end.
-async fn run(core: &Core, pool: &Rc<Pool>, mut order: Order, lane: Lane) -> Ended {
+/// What an attempt goes by.
+struct Way<'a> {
+    core: &'a Rc<Core>,
+    pool: &'a Rc<Pool>,
+    handover: &'a Rc<Handover>,
+}
+
+/// Where a stream comes from.
+enum Source<'a> {
+    /// A client of the library.
+    Awc(&'a mut ClientResponse, &'a Lane),
+    /// A connection that was handed over, or was to be.
+    Raw(&'a mut Raw),
+}
+
+impl Source<'_> {
+    async fn piece(&mut self) -> Option<Result<Bytes, ()>> {
+        match self {
+            Source::Awc(answer, _) => piece(answer).await,
+            Source::Raw(raw) => raw.piece().await,
+        }
+    }
+
+    fn ended(&self) -> bool {
+        match self {
+            Source::Awc(_, lane) => lane.ended(),
+            Source::Raw(raw) => raw.ended,
+        }
+    }
+
+    fn spoilt(&self) -> Option<&'static str> {
+        match self {
+            Source::Awc(_, lane) => lane.spoilt(),
+            Source::Raw(raw) => raw.spoilt.map(link::reason),
+        }
+    }
+
+    fn framing(&self) -> Option<Framing> {
+        match self {
+            Source::Awc(_, lane) => lane.framing(),
+            Source::Raw(raw) => raw.framing(),
+        }
+    }
+
+    fn detach(&mut self) -> Option<TcpStream> {
+        match self {
+            Source::Awc(_, lane) => {
+                lane.closing("handed-over");
+                lane.detach()
+            }
+            Source::Raw(raw) => raw.stream.take(),
+        }
+    }
+}
+
+/// How a stream's relay ended here.
+enum Relayed {
+    /// The attempt is over.
+    Over(Ended),
+    /// It goes on in another process.
+    Handed,
+    /// It goes on here, without the libraries: its connections were given up and not taken.
+    Bare(TcpStream, Framing, TcpStream),
+}
+
+impl Way<'_> {
+    /// Tells the core how an attempt ended here.
+    fn tell(&self, request: RequestId, attempt: Attempt, ended: Option<Ended>) {
+        match ended {
+            Some(ended) => self.core.ended(request, attempt, ended),
+            None => self.core.handed(request, attempt),
+        }
+    }
+
+    /// Relays a stream without the library, to its end; none if it goes on elsewhere.
+    async fn go_on(&mut self, mut order: Order, mut raw: Raw, mut tail: Tail) -> Option<Ended> {
+        loop {
+            let until = Instant::now() + STALL;
+            match stream(self, &mut order, Source::Raw(&mut raw), &mut tail, Some(until)).await {
+                Relayed::Over(ended) => return Some(ended),
+                Relayed::Handed => return None,
+                Relayed::Bare(server, framing, client) => {
+                    let Some(next) = self.bare(&order, server, framing, client) else {
+                        order.exchange.close(false);
+                        return Some(over(&tail, Verdict::Reset, "handover-failed"));
+                    };
+                    raw = next;
+                }
+            }
+        }
+    }
+
+    /// The connections of a stream that nobody took: from here on it goes by them alone.
+    fn bare(&self, order: &Order, server: TcpStream, framing: Framing, client: TcpStream) -> Option<Raw> {
+        let raw = Raw::new(server, framing, self.pool.carried()?)?;
+        let end = self.core.client_again(order.request, &order.exchange);
+        self.core.bare(end, client);
+        Some(raw)
+    }
+
+    /// Offers a stream that stands between two chunks. None if it goes on as it is.
+    async fn offer(&self, order: &Order, source: &mut Source<'_>, tail: &Tail) -> Option<Relayed> {
+        let kept = |reason: &Stays| log!("handover kept id={} reason={reason}", order.exchange.call.label);
+        let call = match self.handover.call().await {
+            Ok(call) => call,
+            Err(reason) => {
+                kept(&reason);
+                return None;
+            }
+        };
+        let framing = source.framing()?;
+        // The client's side first: it may not be able to, and then nothing has changed.
+        let client = order.exchange.surrender().await?;
+        let form = Form {
+            label: order.exchange.call.label.clone(),
+            class: self.core.class_name(order.exchange.call.class).to_owned(),
+            server: order.server.label.clone(),
+            address: order.server.address,
+            age_ms: order.exchange.call.arrived.elapsed().as_millis() as u64,
+            framing: framing.clone(),
+            event: Text(tail.held.to_vec()),
+            done: tail.done,
+            kept: tail.kept,
+        };
+        let server = source.detach()?;
+        match call.give(&form, &client, &server).await {
+            Ok(()) => Some(Relayed::Handed),
+            Err(reason) => {
+                kept(&reason);
+                Some(Relayed::Bare(server, framing, client))
+            }
+        }
+    }
+}
+
+/// An attempt whose stream has ended.
+fn over(tail: &Tail, verdict: Verdict, reason: &'static str) -> Ended {
+    Ended {
+        verdict,
+        kept: tail.kept,
+        report: tail.report,
+        written: true,
+        reason,
+        unusable: false,
+        idle: None,
+    }
+}
+
+/// One attempt from its send to its end; none if its stream goes on in another process.
+async fn run(way: &mut Way<'_>, mut order: Order, lane: Lane) -> Option<Ended> {
+    let (core, pool) = (way.core, way.pool);
     let ended = |verdict, written, reason| Ended {
         verdict,
         kept: None,
@@ -218,8 +417,10 @@
     let answer = tokio::select! {
         biased;
         answer = &mut asked => answer,
-        _ = &mut order.stop => return cut(&lane, Verdict::Cancelled, "cancelled"),
-        () = actix_rt::time::sleep_until(until.into()) => return cut(&lane, Verdict::Timeout, "timed-out"),
+        _ = &mut order.stop => return Some(cut(&lane, Verdict::Cancelled, "cancelled")),
+        () = actix_rt::time::sleep_until(until.into()) => {
+            return Some(cut(&lane, Verdict::Timeout, "timed-out"));
+        }
     };
     let mut answer = match answer {
         Ok(answer) => answer,
@@ -229,7 +430,7 @@
                 None => failed(&error, &lane),
             };
             lane.closing(reason);
-            return ended(verdict, lane.written(), reason);
+            return Some(ended(verdict, lane.written(), reason));
         }
     };
     let rejected = answer.headers().get("X-Rejected").is_some_and(|value| value.as_bytes() == b"1");
@@ -238,13 +439,29 @@
         (StatusCode::OK, Role::Writer | Role::Mixed) => {
             // Noted now: a report is of the time at which it came, and its stream may take seconds.
             core.reported(&order.server, told);
-            let ended = stream(core, &mut order, &mut answer, &lane, until).await;
-            if ended.verdict == Verdict::Ok {
-                pool.give(lane);
-            } else {
-                lane.closing(ended.reason);
-            }
-            return ended;
+            let mut tail = Tail::default();
+            let source = Source::Awc(&mut answer, &lane);
+            return match stream(way, &mut order, source, &mut tail, None).await {
+                Relayed::Over(ended) => {
+                    if ended.verdict == Verdict::Ok {
+                        pool.give(lane);
+                    } else {
+                        lane.closing(ended.reason);
+                    }
+                    Some(ended)
+                }
+                Relayed::Handed => None,
+                Relayed::Bare(server, framing, client) => {
+                    drop((answer, lane));
+                    match way.bare(&order, server, framing, client) {
+                        Some(raw) => way.go_on(order, raw, tail).await,
+                        None => {
+                            order.exchange.close(false);
+                            Some(over(&tail, Verdict::Reset, "handover-failed"))
+                        }
+                    }
+                }
+            };
         }
         (StatusCode::ACCEPTED, Role::Reader | Role::Mixed) => (Verdict::Read, "read"),
         (StatusCode::GONE, _) if rejected => (Verdict::NoState, "no-state"),
@@ -268,7 +485,15 @@
     let kept = body.filter(|_| verdict == Verdict::Read);
     let kept =
         kept.and_then(|body| serde_json::from_slice::<Kept>(&body).ok()).map(|kept| kept.cached_tokens);
-    Ended { verdict, kept, report: told, written: true, reason, unusable: reason == "unusable", idle: None }
+    Some(Ended {
+        verdict,
+        kept,
+        report: told,
+        written: true,
+        reason,
+        unusable: reason == "unusable",
+        idle: None,
+    })
 }
 
 /// A head that cannot be read: a writer's would have begun the answer, while what a reader read may wait there.
@@ -310,25 +535,33 @@
     actix_rt::time::timeout(SMALL_BODY_TIME, all).await.ok().flatten()
 }
 
-/// Passes a writer's stream on, as it comes.
+/// Passes a writer's stream on, as it comes. `began`: its answer has begun already, and says something by then.
 async fn stream(
-    core: &Core,
+    way: &Way<'_>,
     order: &mut Order,
-    answer: &mut ClientResponse,
-    lane: &Lane,
-    until: Instant,
-) -> Ended {
-    let mut tail = Tail::default();
-    let mut started = false;
-    let mut limit = until;
+    mut source: Source<'_>,
+    tail: &mut Tail,
+    began: Option<Instant>,
+) -> Relayed {
+    let mut started = began.is_some();
+    let mut limit = began.unwrap_or(order.until);
+    let mut offers = Instant::now();
     let (verdict, reason) = loop {
         let next = tokio::select! {
             biased;
-            next = piece(answer) => next,
+            next = source.piece() => next,
             _ = &mut order.stop => break (Verdict::Cancelled, "cancelled"),
             () = actix_rt::time::sleep_until(limit.into()) => {
                 break if started { (Verdict::Reset, "stalled") } else { (Verdict::Timeout, "timed-out") };
             }
+            // Nothing more can be read now, so the stream stands between two chunks.
+            () = going(way.handover, offers), if started => {
+                if let Some(relayed) = way.offer(order, &mut source, tail).await {
+                    return relayed;
+                }
+                offers = Instant::now() + OFFER_AGAIN;
+                continue;
+            }
         };
         match next {
             Some(Ok(bytes)) => {
@@ -337,7 +570,7 @@
                     continue;
                 }
                 if !started {
-                    if !core.started(order.request, order.attempt) {
+                    if !way.core.started(order.request, order.attempt) {
                         break (Verdict::Cancelled, "not-wanted");
                     }
                     started = true;
@@ -347,11 +580,11 @@
                 }
                 limit = Instant::now() + if tail.done { LAST_CHUNK } else { STALL };
             }
-            Some(Err(())) => match lane.spoilt() {
+            Some(Err(())) => match source.spoilt() {
                 Some(spoilt) => break (Verdict::Spoilt, spoilt),
                 None => break (Verdict::Reset, "stream-broken"),
             },
-            None if lane.ended() => break (Verdict::Reset, "stream-broken"),
+            None if source.ended() => break (Verdict::Reset, "stream-broken"),
             None if !tail.done => break (Verdict::Reset, "no-final-event"),
             None => match tail.rest() {
                 Ok(rest) if rest.is_empty() => break (Verdict::Ok, "whole"),
@@ -366,15 +599,13 @@
     if started {
         order.exchange.close(verdict == Verdict::Ok);
     }
-    Ended {
-        verdict,
-        kept: tail.kept,
-        report: tail.report,
-        written: true,
-        reason,
-        unusable: false,
-        idle: None,
-    }
+    Relayed::Over(over(tail, verdict, reason))
+}
+
+/// Waits until streams are handed over, and then until this one is offered next.
+async fn going(handover: &Handover, next: Instant) {
+    handover.due().await;
+    actix_rt::time::sleep_until(next.into()).await;
 }
 
 /// Hands events to the client; waits while it is slow.
--- a/router/src/servers/frames.rs
+++ b/router/src/servers/frames.rs
@@ -3,6 +3,8 @@
 //! behind an answer. This guards against all of them: what is handed on are heads and chunks that are whole, of a
 //! sane size and fit, and nothing beyond the answer's end.
 
+use crate::handover::{Framing, Text};
+
 /// A head is no longer than this, and one chunk neither: a server's events are far smaller.
 const LARGEST_HEAD: usize = 16 * 1024;
 const LARGEST_CHUNK: usize = 64 * 1024;
@@ -57,6 +59,35 @@
         Frames { state: State::Head, held: Vec::new(), ahead: 0, extra: false }
     }
 
+    /// Where a chunked answer stands; none of one that is framed otherwise, or has ended.
+    pub fn framing(&self) -> Option<Framing> {
+        let (missing, trailer) = match self.state {
+            State::Size => (None, false),
+            State::Chunk(missing) => (Some(missing), false),
+            State::Trailer => (None, true),
+            _ => return None,
+        };
+        Some(Framing { missing, trailer, held: Text(self.held.clone()) })
+    }
+
+    /// Goes on where another process stood. None if that makes no sense.
+    pub fn resume(framing: Framing) -> Option<Self> {
+        let Framing { missing, trailer, held } = framing;
+        let state = match (missing, trailer) {
+            (None, false) => State::Size,
+            (Some(missing), false) if missing <= LARGEST_CHUNK + 2 => State::Chunk(missing),
+            (None, true) => State::Trailer,
+            _ => return None,
+        };
+        let most = if missing.is_some() { LONGEST_LINE + LARGEST_CHUNK + 2 } else { LONGEST_LINE };
+        (held.0.len() <= most).then(|| Frames { state, held: held.0, ..Frames::new() })
+    }
+
+    /// The answer has ended.
+    pub fn done(&self) -> bool {
+        self.state == State::Done
+    }
+
     /// Whether a part of a head or chunk waits for the rest.
     pub fn partial(&self) -> bool {
         !self.held.is_empty()
@@ -197,6 +228,17 @@
     }
 }
 
+/// Takes the first chunk out of bytes that this framing has handed on; the last one gives nothing.
+pub fn chunk(bytes: &mut bytes::BytesMut) -> Option<bytes::Bytes> {
+    let line = bytes.iter().position(|byte| *byte == b'\n')? + 1;
+    let size = chunk_size(&bytes[..line]).filter(|size| *size > 0)?;
+    if bytes.len() < line + size + 2 {
+        return None;
+    }
+    let whole = bytes.split_to(line + size + 2).freeze();
+    Some(whole.slice(line..line + size))
+}
+
 /// A chunk's size from its line: hex digits, then perhaps an extension. None beyond what one chunk may have.
 fn chunk_size(line: &[u8]) -> Option<usize> {
     let line = line.strip_suffix(b"\r\n")?;
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -1,8 +1,9 @@
 //! Connections to servers. Each is an awc client of its own with room for one connection, so that this side
 //! knows what awc alone would hide: which connection carries an attempt, and whether its last byte was written.
 
-use super::frames::{Frames, Spoilt};
+use super::frames::{self, Frames, Spoilt};
 use crate::core::Server;
+use crate::handover::Framing;
 use crate::log;
 use actix_http::body::{BodySize, MessageBody};
 use actix_rt::net::{ActixStream, Ready, TcpStream};
@@ -59,6 +60,16 @@
     server: RefCell<Option<Rc<Server>>>,
     /// Attempts written whole, on all connections.
     dispatches: Rc<Cell<u64>>,
+    /// The connection, and its answer's framing: here, so that a stream can be taken out of awc's hands.
+    stream: RefCell<Option<TcpStream>>,
+    frames: RefCell<Option<Frames>>,
+    /// Checked bytes that awc has not taken yet.
+    backlog: Cell<usize>,
+}
+
+/// What a connection that was taken out of awc's hands is told.
+fn detached() -> io::Error {
+    io::Error::new(io::ErrorKind::NotConnected, "handed over")
 }
 
 /// A body that notes when it has been handed over whole.
@@ -88,11 +99,9 @@
 /// A connection that notes what passes over it, and hands on only answers that can be read. awc flushes once a
 /// request's last byte was written.
 pub struct Wire {
-    stream: TcpStream,
     address: SocketAddr,
     meter: Rc<Meter>,
     open: Rc<Cell<usize>>,
-    frames: Frames,
     /// Checked bytes that wait for awc.
     checked: Vec<u8>,
     taken: usize,
@@ -117,6 +126,15 @@
             self.checked.clear();
             self.taken = 0;
         }
+        self.meter.backlog.set(self.checked.len());
+    }
+
+    /// Does this with the connection, while it is here.
+    fn with<T>(&self, done: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match self.meter.stream.borrow_mut().as_mut() {
+            Some(stream) => done(Pin::new(stream)),
+            None => Poll::Ready(Err(detached())),
+        }
     }
 }
 
@@ -129,6 +147,8 @@
 impl Drop for Wire {
     fn drop(&mut self) {
         self.open.set(self.open.get() - 1);
+        // Nobody else holds it now; the lane, which outlives it by a moment, opens a new one.
+        drop(self.meter.stream.take());
         let code = if self.meter.code.get().is_empty() { "cancelled" } else { self.meter.code.get() };
         log!("connection peer=server address={} code={code}", self.address);
     }
@@ -147,7 +167,7 @@
             }
             let mut piece = [0; PIECE];
             let mut piece = ReadBuf::new(&mut piece);
-            match Pin::new(&mut this.stream).poll_read(cx, &mut piece) {
+            match this.with(|stream| stream.poll_read(cx, &mut piece)) {
                 Poll::Ready(Ok(())) => {}
                 Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
                 Poll::Pending => {
@@ -164,11 +184,13 @@
                 this.meter.extra.set(true);
                 return Poll::Ready(Ok(()));
             }
-            if let Err(spoilt) = this.frames.feed(piece.filled(), &mut this.checked) {
+            let mut frames = this.meter.frames.borrow_mut();
+            let frames = frames.get_or_insert_with(Frames::new);
+            if let Err(spoilt) = frames.feed(piece.filled(), &mut this.checked) {
                 this.meter.spoilt.set(Some(spoilt));
             }
-            this.meter.extra.set(this.frames.extra);
-            if !this.frames.partial() {
+            this.meter.extra.set(frames.extra);
+            if !frames.partial() {
                 this.part = None;
             } else if this.part.is_none() || !this.checked.is_empty() {
                 this.part = Some(Box::pin(sleep(PART_TIME)));
@@ -192,9 +214,9 @@
                 return Poll::Ready(Err(io::Error::other("the server takes nothing new")));
             }
         }
-        let wrote = Pin::new(&mut this.stream).poll_write(cx, buf);
+        let wrote = this.with(|stream| stream.poll_write(cx, buf));
         if matches!(wrote, Poll::Ready(Ok(_))) && !this.meter.begun.replace(true) {
-            this.frames = Frames::new();
+            *this.meter.frames.borrow_mut() = Some(Frames::new());
         }
         wrote
     }
@@ -207,21 +229,21 @@
                 this.meter.dispatches.set(this.meter.dispatches.get() + 1);
             }
         }
-        Pin::new(&mut this.stream).poll_flush(cx)
+        this.with(|stream| stream.poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        self.with(|stream| stream.poll_shutdown(cx))
     }
 }
 
 impl ActixStream for Wire {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, cx)
+        self.with(|stream| ActixStream::poll_read_ready(&*stream, cx))
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, cx)
+        self.with(|stream| ActixStream::poll_write_ready(&*stream, cx))
     }
 }
 
@@ -247,9 +269,9 @@
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             open.set(open.get() + 1);
             meter.ended.set(false);
-            let (frames, checked) = (Frames::new(), Vec::new());
+            *meter.stream.borrow_mut() = Some(stream);
             let wire =
-                Wire { stream, address, meter, open, frames, checked, taken: 0, part: None, waiting: false };
+                Wire { address, meter, open, checked: Vec::new(), taken: 0, part: None, waiting: false };
             Ok(Connection::new(info.request().clone(), wire))
         })
     }
@@ -307,11 +329,19 @@
 
     /// Its answer cannot be read.
     pub fn spoilt(&self) -> Option<&'static str> {
-        self.meter.spoilt.get().map(|spoilt| match spoilt {
-            Spoilt::Head => "bad-head",
-            Spoilt::Chunk => "bad-chunk",
-            Spoilt::CutShort => "cut-short",
-        })
+        self.meter.spoilt.get().map(reason)
+    }
+
+    /// Where its answer's framing stands, if awc has all that was checked of it and it is chunked.
+    pub fn framing(&self) -> Option<Framing> {
+        let spoilt = self.meter.spoilt.get().is_some() || self.meter.ended.get();
+        let frames = self.meter.frames.borrow();
+        frames.as_ref().filter(|_| !spoilt && self.meter.backlog.get() == 0).and_then(Frames::framing)
+    }
+
+    /// Takes the connection out of awc's hands; it is neither shut down nor used there again.
+    pub fn detach(&self) -> Option<TcpStream> {
+        self.meter.stream.take()
     }
 
     /// Says for the log why the connection is about to end.
@@ -320,10 +350,103 @@
     }
 }
 
+/// Why an answer cannot be read, for the log.
+pub fn reason(spoilt: Spoilt) -> &'static str {
+    match spoilt {
+        Spoilt::Head => "bad-head",
+        Spoilt::Chunk => "bad-chunk",
+        Spoilt::CutShort => "cut-short",
+    }
+}
+
 fn longest_idle(links: Links) -> Duration {
     Duration::from_nanos(links.idle.0).mul_f64(IDLE_PART)
 }
 
+/// A connection's place among all, for one that this process did not open.
+pub struct Carried(Rc<Cell<usize>>);
+
+impl Drop for Carried {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+/// A stream's connection without awc: one that came from another process, or was to go to one.
+pub struct Raw {
+    /// The connection.
+    pub stream: Option<TcpStream>,
+    frames: Frames,
+    /// Whole chunks that have not been handed on.
+    checked: bytes::BytesMut,
+    /// Since when a part of a chunk waits for the rest.
+    part: Option<Instant>,
+    /// The server ended it.
+    pub ended: bool,
+    /// It cannot be read any further.
+    pub spoilt: Option<Spoilt>,
+    _place: Carried,
+}
+
+impl Raw {
+    /// Goes on with a connection whose answer stands there. None if that makes no sense.
+    pub fn new(stream: TcpStream, framing: Framing, place: Carried) -> Option<Self> {
+        let frames = Frames::resume(framing)?;
+        let part = frames.partial().then(Instant::now);
+        let checked = bytes::BytesMut::new();
+        Some(Raw { stream: Some(stream), frames, checked, part, ended: false, spoilt: None, _place: place })
+    }
+
+    /// Where its framing stands, if all that was checked has been handed on.
+    pub fn framing(&self) -> Option<Framing> {
+        let whole = self.checked.is_empty() && !self.ended && self.spoilt.is_none();
+        whole.then(|| self.frames.framing()).flatten()
+    }
+
+    /// The next piece of the answer; nothing at its end, however it came. May be dropped and called again.
+    pub async fn piece(&mut self) -> Option<Result<Bytes, ()>> {
+        loop {
+            if let Some(piece) = frames::chunk(&mut self.checked) {
+                return Some(Ok(piece));
+            }
+            if self.spoilt.is_some() {
+                return Some(Err(()));
+            }
+            if self.ended || self.frames.done() {
+                return None;
+            }
+            let stream = self.stream.as_mut()?;
+            let late = self.part.map_or_else(|| Instant::now() + crate::servers::STALL, |at| at + PART_TIME);
+            match tokio::time::timeout_at(late.into(), stream.readable()).await {
+                Ok(Ok(())) => {}
+                Ok(Err(_)) => return Some(Err(())),
+                Err(_) if self.part.is_some() => {
+                    self.spoilt = Some(Spoilt::CutShort);
+                    continue;
+                }
+                // Who asks has its own time for silence.
+                Err(_) => continue,
+            }
+            let mut piece = [0; PIECE];
+            match stream.try_read(&mut piece) {
+                Ok(0) => self.ended = true,
+                Ok(size) => {
+                    let mut checked = Vec::new();
+                    self.spoilt = self.frames.feed(&piece[..size], &mut checked).err();
+                    self.checked.extend_from_slice(&checked);
+                    self.part = match self.frames.partial() {
+                        false => None,
+                        true if checked.is_empty() => self.part.or_else(|| Some(Instant::now())),
+                        true => Some(Instant::now()),
+                    };
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Some(Err(())),
+            }
+        }
+    }
+}
+
 /// All connections to servers.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Lane>>>,
@@ -391,6 +514,15 @@
         Some(Lane { client, address, meter, idle_since: Instant::now(), used: false })
     }
 
+    /// Room for a connection that another process opened; none if all are taken.
+    pub fn carried(&self) -> Option<Carried> {
+        if self.open.get() >= self.most {
+            return None;
+        }
+        self.open.set(self.open.get() + 1);
+        Some(Carried(self.open.clone()))
+    }
+
     /// Puts a lane back whose connection is free again. One on which more came than its answer is closed: what
     /// stands there would be taken for the next answer.
     pub fn give(&self, mut lane: Lane) {
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
+use std::os::unix::net::UnixListener;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, channel};
@@ -86,6 +87,8 @@
     other: Running,
     /// The clients' socket, where the platform holds it.
     door: TcpListener,
+    /// What two processes share. A short path: that of a Unix socket is no longer than 107 bytes.
+    shared: PathBuf,
     listeners: HashMap<String, TcpListener>,
     peers: HashMap<String, Peer>,
     folder: PathBuf,
@@ -101,7 +104,8 @@
         let peers = HashMap::new();
         let (running, other) = Default::default();
         let door = TcpListener::bind("127.0.0.1:0").unwrap();
-        Stage { running, other, door, listeners, peers, folder, within: None }
+        let shared = std::env::temp_dir().join(format!("fawnstream-{}-{name}", std::process::id()));
+        Stage { running, other, door, shared, listeners, peers, folder, within: None }
     }
 
     /// Fills in the addresses of servers.
@@ -153,6 +157,10 @@
             .stderr(Stdio::piped())
             .stdin(fd.map_or_else(Stdio::null, |_| OwnedFd::from(self.door.try_clone().unwrap()).into()));
         command.envs(fd.map(|fd| ("PROXY_FD", fd)));
+        if fd.is_some() {
+            std::fs::create_dir_all(&self.shared).unwrap();
+            command.env("TMPDIR", &self.shared);
+        }
         command.args(arguments.split_whitespace().filter(|argument| !argument.contains(['=', ':'])).map(
             |word| match word {
                 "FILE" => openai.clone().into_os_string(),
@@ -233,6 +241,23 @@
         match verb {
             "start" => self.start(rest, body),
             "log" => drop(self.wait_log(rest)),
+            // Something stands where processes meet.
+            "litter" => {
+                std::fs::create_dir_all(&self.shared).unwrap();
+                std::fs::write(self.shared.join("fawnstream.handover"), "left by nobody").unwrap();
+            }
+            // Somebody is ready to take a stream over, and then does not.
+            "impostor" => {
+                let path = self.shared.join("fawnstream.handover");
+                let _ = std::fs::remove_file(&path);
+                let listener = UnixListener::bind(path).unwrap();
+                std::thread::spawn(move || {
+                    for mut stream in listener.incoming().flatten() {
+                        let _ = stream.write_all(b"r").and_then(|()| stream.read(&mut [0; 4096]));
+                        let _ = stream.write_all(b"n");
+                    }
+                });
+            }
             // The steps that follow are about the other one of two programs.
             "swap" => std::mem::swap(&mut self.running, &mut self.other),
             // Operators find this figure, soon.
@@ -395,6 +420,7 @@
         }
         self.running.end();
         self.other.end();
+        let _ = std::fs::remove_dir_all(&self.shared);
     }
 }
 
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -25,6 +25,8 @@
     pub idle: Span,
     /// A connection that is not up by then has failed.
     pub connect: Span,
+    /// The longest time for which a client waits; none where no class tells it.
+    pub longest_wait: Option<Span>,
 }
 
 /// The settings object.
@@ -65,6 +67,7 @@
 #[derive(Deserialize)]
 struct WireClass {
     aim: u64,
+    give_up: Option<u64>,
     #[serde(default)]
     dedup_scope: Option<String>,
     effect: String,
@@ -138,7 +141,11 @@
 impl Wire {
     /// What is told of connections to servers.
     pub fn links(&self) -> Links {
-        Links { idle: Span(self.ceilings.conn_idle), connect: Span(self.ceilings.connect_timeout) }
+        Links {
+            idle: Span(self.ceilings.conn_idle),
+            connect: Span(self.ceilings.connect_timeout),
+            longest_wait: self.classes.iter().filter_map(|class| class.give_up).max().map(Span),
+        }
     }
 
     /// The module's settings, and the names that events will use.
