Wait in turn for discovery's answer, and back off with jitter where it refuses calls

Checked with a probe: the refusals carry no Retry-After; calls that are not refused at once end after 3 s or more, so they wait in turn and the time-out of 1.5 s always gave that turn up. Ruled out: the address (the first watch came up at once on all 48), the version asked for.

At fault: list/discovery.rs, HEAD of 1.5 s and a wait of 1 s at most, the same at all routers.

--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -99,7 +99,9 @@
     let etcd = config.etcd.map(watch::Sender::new);
     match &etcd {
         Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
-        None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, hear))),
+        None => {
+            drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, config.seed, hear)))
+        }
     }
     let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes, inherits);
     let clients = shared.clone();
