Feed the usage ledger from the core's outcomes and export it, each batch under one name

The core tells a thread of its own of requests as they come and end, over a bounded queue; the thread keeps the book, writes, syncs and exports. A batch is on the disk before it is sent, so after a kill the same one goes again under the same name. A disk that fails stops the ledger with a figure and a line, never a request. A stream that is handed over is billed where it ends.

--- a/ledger/src/store.rs
+++ b/ledger/src/store.rs
@@ -63,13 +63,6 @@
     segment: u64,
 }
 
-/// Where a file ends well.
-struct Read1 {
-    good: u64,
-    whole: bool,
-    owner: String,
-}
-
 fn framed(text: &[u8]) -> Vec<u8> {
     let length = (text.len() as u32).to_be_bytes();
     let mut frame = length.to_vec();
@@ -107,74 +100,136 @@
     }
 }
 
-/// Reads one segment. `last`: it may be torn.
-fn read<T: DeserializeOwned>(
-    path: &Path,
-    kind: &str,
-    last: bool,
-    hear: &mut impl FnMut(T),
-) -> Result<Read1, StoreError> {
-    let io = |error| StoreError::Io { path: path.to_owned(), error };
-    let mut file = BufReader::new(File::open(path).map_err(io)?);
-    let (mut at, mut owner) = (0u64, None);
-    let whole = loop {
-        let damaged = |what| Err(StoreError::Damaged { path: path.to_owned(), at, what });
+/// What stands next in a segment.
+enum Next {
+    /// A record's text.
+    Text(Vec<u8>),
+    /// Nothing more.
+    End,
+    /// A record that is not whole, and nothing behind it.
+    Torn,
+}
+
+/// One segment, as it is read.
+struct Segment {
+    path: PathBuf,
+    file: BufReader<File>,
+    /// All before this byte is whole.
+    at: u64,
+    owner: Option<String>,
+}
+
+impl Segment {
+    fn open(path: &Path) -> Result<Self, StoreError> {
+        let io = |error| StoreError::Io { path: path.to_owned(), error };
+        Ok(Segment {
+            path: path.to_owned(),
+            file: BufReader::new(File::open(path).map_err(io)?),
+            at: 0,
+            owner: None,
+        })
+    }
+
+    fn failed(&self, error: io::Error) -> StoreError {
+        StoreError::Io { path: self.path.clone(), error }
+    }
+
+    fn damaged(&self, what: &'static str) -> StoreError {
+        StoreError::Damaged { path: self.path.clone(), at: self.at, what }
+    }
+
+    fn next(&mut self) -> Result<Next, StoreError> {
         let mut frame = [0; FRAME];
-        let size = fill(&mut file, &mut frame).map_err(io)?;
-        if size == 0 {
-            break true;
-        }
+        let size = fill(&mut self.file, &mut frame).map_err(|error| self.failed(error))?;
         if size < FRAME {
-            break false;
+            return Ok(if size == 0 { Next::End } else { Next::Torn });
         }
         let part = |from: usize| {
             u32::from_be_bytes([frame[from], frame[from + 1], frame[from + 2], frame[from + 3]])
         };
         let (length, check, sum) = (part(0), part(4), part(8));
         if crc32fast::hash(&frame[..4]) != check || length > LONGEST || length == 0 {
-            if frame.iter().all(|byte| *byte == 0) && only_zeros(&mut file).map_err(io)? {
-                break false;
+            let zeros = frame.iter().all(|byte| *byte == 0);
+            if zeros && only_zeros(&mut self.file).map_err(|error| self.failed(error))? {
+                return Ok(Next::Torn);
             }
-            return damaged("no record's head");
+            return Err(self.damaged("no record's head"));
         }
         let mut text = vec![0; length as usize];
-        if fill(&mut file, &mut text).map_err(io)? < text.len() {
-            break false;
+        if fill(&mut self.file, &mut text).map_err(|error| self.failed(error))? < text.len() {
+            return Ok(Next::Torn);
         }
         if crc32fast::hash(&text) != sum {
             // The last record's pages may have been written out of order; anything before it was synced.
-            let mut more = [0];
-            if fill(&mut file, &mut more).map_err(io)? == 0 {
-                break false;
+            if fill(&mut self.file, &mut [0]).map_err(|error| self.failed(error))? == 0 {
+                return Ok(Next::Torn);
             }
-            return damaged("a record's sum is wrong");
+            return Err(self.damaged("a record's sum is wrong"));
         }
-        if owner.is_none() {
-            let foreign = |what: String| Err(StoreError::Foreign { path: path.to_owned(), what });
-            let head: Head = match serde_json::from_slice(&text) {
-                Ok(head) => head,
-                Err(error) => return foreign(format!("no head: {error}")),
-            };
-            if head.fawnstream != kind || head.form > FORM {
-                return foreign(format!("holds {} in form {}", head.fawnstream, head.form));
+        self.at += FRAME as u64 + u64::from(length);
+        Ok(Next::Text(text))
+    }
+
+    /// Takes the text of the head, which is the first.
+    fn head(&mut self, kind: &str, text: &[u8]) -> Result<(), StoreError> {
+        let foreign = |what: String| StoreError::Foreign { path: self.path.clone(), what };
+        let head: Head =
+            serde_json::from_slice(text).map_err(|error| foreign(format!("no head: {error}")))?;
+        if head.fawnstream != kind || head.form > FORM {
+            return Err(foreign(format!("holds {} in form {}", head.fawnstream, head.form)));
+        }
+        self.owner = Some(head.owner);
+        Ok(())
+    }
+
+    /// The next record; none at the end, which is torn or not.
+    fn record<T: DeserializeOwned>(&mut self, kind: &str) -> Result<Result<T, bool>, StoreError> {
+        loop {
+            match self.next()? {
+                Next::Text(text) if self.owner.is_none() => self.head(kind, &text)?,
+                Next::Text(text) => {
+                    let record = serde_json::from_slice(&text);
+                    return record.map(Ok).map_err(|_| self.damaged("a record makes no sense"));
+                }
+                Next::End => return Ok(Err(false)),
+                Next::Torn => return Ok(Err(true)),
             }
-            owner = Some(head.owner);
-        } else {
-            match serde_json::from_slice(&text) {
-                Ok(record) => hear(record),
-                Err(_) => return damaged("a record makes no sense"),
+        }
+    }
+}
+
+/// Reads a folder's records one at a time, and on as they are written. Its end is no error: more may come.
+pub struct Reader<T> {
+    folder: PathBuf,
+    kind: &'static str,
+    segment: Option<(u64, Segment)>,
+    _of: PhantomData<T>,
+}
+
+impl<T: DeserializeOwned> Reader<T> {
+    /// From the first record on.
+    pub fn open(folder: &Path, kind: &'static str) -> Result<Self, StoreError> {
+        Ok(Reader { folder: folder.to_owned(), kind, segment: None, _of: PhantomData })
+    }
+
+    /// The next record that was written whole; none if there is none yet.
+    #[allow(clippy::should_implement_trait)]
+    pub fn next(&mut self) -> Result<Option<T>, StoreError> {
+        loop {
+            let next = match &mut self.segment {
+                Some((number, segment)) => match segment.record(self.kind)? {
+                    Ok(record) => return Ok(Some(record)),
+                    Err(_) => *number + 1,
+                },
+                None => 1,
+            };
+            let path = segment_path(&self.folder, self.kind, next);
+            if !path.exists() {
+                return Ok(None);
             }
+            self.segment = Some((next, Segment::open(&path)?));
         }
-        at += FRAME as u64 + u64::from(length);
-    };
-    if !whole && !last {
-        return Err(StoreError::Damaged {
-            path: path.to_owned(),
-            at,
-            what: "the file stops here, and is not the last",
-        });
     }
-    Ok(Read1 { good: at, whole, owner: owner.unwrap_or_default() })
 }
 
 /// A ledger's segments in their order.
@@ -204,17 +259,36 @@
     mut hear: impl FnMut(T),
 ) -> Result<(String, bool), StoreError> {
     let all = segments(folder, kind)?;
-    let (mut owner, mut torn) = (String::new(), false);
+    let (mut owner, mut torn) = (None, false);
     for (place, (_, path)) in all.iter().enumerate() {
-        let read = read(path, kind, place + 1 == all.len(), &mut hear)?;
-        if !owner.is_empty() && !read.owner.is_empty() && read.owner != owner {
-            let what = format!("belongs to {}, the one before it to {owner}", read.owner);
-            return Err(StoreError::Foreign { path: path.clone(), what });
+        let mut segment = Segment::open(path)?;
+        let end = loop {
+            match segment.record(kind)? {
+                Ok(record) => hear(record),
+                Err(end) => break end,
+            }
+        };
+        if end && place + 1 < all.len() {
+            return Err(segment.damaged("the file stops here, and is not the last"));
+        }
+        torn |= end;
+        match (&owner, segment.owner) {
+            (Some(owner), Some(other)) if *owner != other => {
+                let what = format!("belongs to {other}, the one before it to {owner}");
+                return Err(StoreError::Foreign { path: path.clone(), what });
+            }
+            (None, told) => owner = told,
+            _ => {}
         }
-        owner = if read.owner.is_empty() { owner } else { read.owner };
-        torn |= !read.whole;
     }
-    Ok((owner, torn))
+    Ok((owner.unwrap_or_default(), torn))
+}
+
+/// Up to where a segment is whole.
+fn good(path: &Path) -> Result<u64, StoreError> {
+    let mut segment = Segment::open(path)?;
+    while matches!(segment.next()?, Next::Text(_)) {}
+    Ok(segment.at)
 }
 
 /// Records that are being written.
@@ -260,9 +334,8 @@
         let (segment, path) =
             segments(folder, kind)?.pop().unwrap_or_else(|| (1, segment_path(folder, kind, 1)));
         let file = OpenOptions::new().create(true).append(true).open(&path).map_err(io(&path))?;
-        let size = if torn { read::<T>(&path, kind, true, &mut |_| {})?.good } else { 0 };
         if torn {
-            file.set_len(size).map_err(io(&path))?;
+            file.set_len(good(&path)?).map_err(io(&path))?;
         }
         let size = file.metadata().map_err(io(&path))?.len();
         let (folder, owner) = (folder.to_owned(), owner.to_owned());
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells the router: `$PROXY_CONFIG`, and the variables that stand beside it.
 
 pub mod etcd;
+pub mod ledger;
 pub mod openai;
 
 use crate::list;
@@ -37,7 +38,7 @@
         error: std::io::Error,
     },
     /// An argument that is not known.
-    #[error("usage: fawnstream [--openai FILE] [--etcd FILE]")]
+    #[error("usage: fawnstream [--openai FILE] [--etcd FILE] [--ledger FILE]")]
     Usage,
     /// A file is not what it should be.
     #[error("{path}: {problem}")]
@@ -106,6 +107,8 @@
     pub openai: Option<openai::OpenAi>,
     /// The list's source, where it is not discovery.
     pub etcd: Option<etcd::Etcd>,
+    /// The usage ledger, where it is wanted.
+    pub ledger: Option<ledger::Ledger>,
 }
 
 impl Config {
@@ -150,13 +153,14 @@
         let links = file.settings.links();
         let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
         settings.check().map_err(|error| wrong(error.to_string()))?;
-        let (mut openai, mut etcd) = (None, None);
+        let (mut openai, mut etcd, mut ledger) = (None, None, None);
         let mut arguments = std::env::args().skip(1);
         while let Some(argument) = arguments.next() {
             let path = arguments.next().ok_or(ConfigError::Usage)?;
             match argument.as_str() {
                 "--openai" => openai = Some(openai::OpenAi::load(&path, &names)?),
                 "--etcd" => etcd = Some(etcd::Etcd::load(&path)?),
+                "--ledger" => ledger = Some(ledger::Ledger::load(&path)?),
                 _ => return Err(ConfigError::Usage),
             }
         }
@@ -178,6 +182,7 @@
             links,
             openai,
             etcd,
+            ledger,
         })
     }
 }
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -2,8 +2,12 @@
 //! module's actions. It knows no HTTP. The one final answer of each request is decided here alone.
 
 use crate::exchange::{ClientEnd, Exchange, Opening};
+use crate::handover::Bill;
 use crate::list::{Entry, Update};
+use crate::usage::{self, Usage};
 use crate::{config, log};
+use fawnstream_ledger::book::Used;
+use fawnstream_ledger::entry::Tokens;
 use shedrelay::*;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -56,6 +60,8 @@
     pub verdict: Verdict,
     /// Prompt tokens found kept.
     pub kept: Option<f64>,
+    /// What the server says that the request used.
+    pub used: Option<Tokens>,
     /// The server's report.
     pub report: Option<Report>,
     /// The whole request was written: the server may have begun it, whatever came of the connection.
@@ -74,6 +80,7 @@
         Ended {
             verdict: Verdict::Moot,
             kept: None,
+            used: None,
             report: None,
             written: false,
             reason,
@@ -164,6 +171,8 @@
     /// One for each class: a class that is not known adds none.
     tallies: RefCell<Vec<Tally>>,
     dispatches: Rc<Cell<u64>>,
+    /// The usage ledger, where there is one.
+    usage: Option<Rc<Usage>>,
     born: Instant,
     unix: u64,
     last: Cell<u64>,
@@ -176,6 +185,7 @@
         settings: Settings,
         names: shedrelay_settings::Names,
         seed: u64,
+        usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
         let roles = settings.kinds.iter().map(|kind| kind.role).collect();
         let router = Router::new(settings, seed)?;
@@ -192,6 +202,7 @@
             bare: RefCell::default(),
             tallies,
             dispatches: Rc::default(),
+            usage,
             born: Instant::now(),
             unix: unix.as_nanos() as u64,
             last: Cell::new(0),
@@ -217,6 +228,21 @@
         }
     }
 
+    /// A customer's name; empty where there is none.
+    fn tenant_name(&self, tenant: Option<TenantId>) -> &str {
+        tenant.and_then(|tenant| self.names.tenants.get(tenant.0)).map_or("", |name| name)
+    }
+
+    /// What a request is billed by, where a ledger is kept.
+    pub fn bill(&self, call: &crate::exchange::Call) -> Option<Bill> {
+        Some(self.usage.as_ref()?.bill(call, self.tenant_name(call.tenant)))
+    }
+
+    /// The usage ledger, where there is one.
+    pub fn usage(&self) -> Option<&Usage> {
+        self.usage.as_deref()
+    }
+
     /// A class's name.
     pub fn class_name(&self, class: ClassId) -> &str {
         self.names.classes.get(class.0).map_or("-", |name| name)
@@ -415,6 +441,9 @@
             answered: false,
             left: false,
         };
+        if let Some(usage) = &self.usage {
+            usage.came(id, &exchange.call, self.tenant_name(exchange.call.tenant));
+        }
         self.open.borrow_mut().insert(id, open);
         self.handle(Event::Request(ask));
         Some(ClientEnd::new(exchange))
@@ -424,7 +453,7 @@
         match self.open.borrow_mut().get_mut(&id) {
             Some(open) if !open.left && !open.answered => {
                 (open.left, open.answered) = (true, true);
-                self.done(open, "client-left");
+                self.done(id, open, "client-left", None);
             }
             Some(open) if !open.left && open.started => {
                 open.left = true;
@@ -446,6 +475,7 @@
         exchange: Rc<Exchange>,
         label: &str,
         address: SocketAddr,
+        bill: Option<Bill>,
     ) -> Option<(Order, ClientEnd)> {
         if self.labels.borrow().contains_key(&exchange.call.label) {
             return None;
@@ -474,6 +504,9 @@
             answered: true,
             left: false,
         };
+        if let (Some(usage), Some(bill)) = (&self.usage, bill) {
+            usage.carried(request, bill);
+        }
         self.open.borrow_mut().insert(request, open);
         let end = self.client_again(request, &exchange);
         let attempt = Attempt(0);
@@ -496,6 +529,9 @@
         let Some(open) = self.open.borrow_mut().remove(&request) else { return };
         self.labels.borrow_mut().remove(&open.exchange.call.label);
         log!("request id={} outcome=handed-over", open.exchange.call.label);
+        if let Some(usage) = &self.usage {
+            usage.handed(request);
+        }
         let (verdict, settled) = (Verdict::Ok, true);
         self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept: None, report: None }));
     }
@@ -566,7 +602,7 @@
                     (true, _) => "client-left",
                     (false, _) => "broken",
                 };
-                self.done(open, how);
+                self.done(request, open, how, ended.used);
                 if open.left {
                     // Nothing speaks against a server whose reader went away.
                     verdict = Verdict::Ok;
@@ -596,20 +632,29 @@
         if let Some(open) = self.open.borrow_mut().get_mut(&id).filter(|open| !open.answered) {
             open.answered = true;
             open.exchange.open(opening);
-            self.done(
-                open,
-                match opening {
-                    Opening::Failed => "failed",
-                    Opening::Unusable => "unusable",
-                    _ => "refused",
-                },
-            );
+            let how = match opening {
+                Opening::Failed => "failed",
+                Opening::Unusable => "unusable",
+                _ => "refused",
+            };
+            self.done(id, open, how, None);
         }
     }
 
     /// One line for each request: its final outcome, which is counted here alone.
-    fn done(&self, open: &Open, outcome: &str) {
+    fn done(&self, id: RequestId, open: &Open, outcome: &str, tokens: Option<Tokens>) {
         let call = &open.exchange.call;
+        if let Some(usage) = &self.usage {
+            let used = Used {
+                label: call.label.clone(),
+                class: self.class_name(call.class).to_owned(),
+                outcome: usage::outcome(outcome),
+                began: open.started,
+                reported: tokens,
+                told_prompt: call.prompt_len as i64,
+            };
+            usage.ended(id, used);
+        }
         if let Some(tally) = self.tallies.borrow_mut().get_mut(call.class.0) {
             match outcome {
                 "served" => tally.served += 1,
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -50,14 +50,14 @@
 
 impl Call {
     /// A request whose answer another process began: all that is left to know of it.
-    pub fn carried(label: String, class: Option<ClassId>, age: Duration) -> Self {
+    pub fn carried(label: String, class: Option<ClassId>, age: Duration, prompt_len: f64) -> Self {
         let now = Instant::now();
         Call {
             label,
             session: None,
             prefix: None,
             prefix_len: 0.0,
-            prompt_len: 0.0,
+            prompt_len,
             max_out: 0.0,
             // A class that is not known here counts nowhere.
             class: class.unwrap_or(ClassId(usize::MAX)),
--- a/router/src/handover.rs
+++ b/router/src/handover.rs
@@ -5,6 +5,7 @@
 
 use crate::log;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
+use fawnstream_ledger::entry::Tokens;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags, recvmsg, sendmsg,
@@ -69,6 +70,19 @@
     pub held: Text,
 }
 
+/// What a request is billed by, where a usage ledger is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Bill {
+    /// What joins its tries.
+    pub ask: u64,
+    /// Whose it is.
+    pub tenant: String,
+    /// When it came, in Unix time.
+    pub came_ms: u64,
+    /// The prompt's tokens as it told them.
+    pub prompt: f64,
+}
+
 /// A stream between two of its chunks, besides its connections.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Form {
@@ -90,6 +104,12 @@
     pub done: bool,
     /// Prompt tokens found kept.
     pub kept: Option<f64>,
+    /// What its server has said that it used.
+    #[serde(default)]
+    pub used: Option<Tokens>,
+    /// What it is billed by.
+    #[serde(default)]
+    pub bill: Option<Bill>,
 }
 
 /// A stream that came from another process.
@@ -303,7 +323,19 @@
         let framing = Framing { missing: Some(3), trailer: false, held: Text(b"5\r\nab".to_vec()) };
         let (label, class, server) = ("1".to_owned(), "quick".to_owned(), "w1".to_owned());
         let (address, event) = ("127.0.0.1:1".parse().unwrap(), Text(b"data: {".to_vec()));
-        Form { label, class, server, address, age_ms: 7, framing, event, done: false, kept: None }
+        Form {
+            label,
+            class,
+            server,
+            address,
+            age_ms: 7,
+            framing,
+            event,
+            done: false,
+            kept: None,
+            used: None,
+            bill: None,
+        }
     }
 
     /// What the taking side saw: forms offered, and how many it was told to go on with.
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -13,6 +13,7 @@
 mod operators;
 mod servers;
 mod sse;
+mod usage;
 
 use clients::{STILL_OPEN, Shared, openai, platform};
 use config::Config;
@@ -40,6 +41,8 @@
     Config(#[from] config::ConfigError),
     #[error(transparent)]
     Settings(#[from] shedrelay::SettingsError),
+    #[error("ledger: {0}")]
+    Usage(#[from] usage::UsageError),
     #[error("PROXY_FD: {0}")]
     Inherit(#[from] fawnstream_inherit::InheritError),
     #[error("{what}: {error}")]
@@ -84,7 +87,15 @@
     let mut hup = signal(SignalKind::hangup()).map_err(io("SIGHUP".to_owned()))?;
     let mut term = signal(SignalKind::terminate()).map_err(io("SIGTERM".to_owned()))?;
     let config = Config::load(inherited.is_some())?;
-    let core = core::Core::new(config.settings, config.names, config.seed)?;
+    let usage = match config.ledger {
+        Some(told) => {
+            let routers = f64::from(config.settings.routers);
+            let quotas: Vec<f64> = config.settings.tenants.iter().map(|t| t.quota_per_s / routers).collect();
+            Some(usage::Usage::start(told, &config.name, &config.names, &quotas, inherited.is_some())?)
+        }
+        None => None,
+    };
+    let core = core::Core::new(config.settings, config.names, config.seed, usage.clone())?;
     let inherits = inherited.is_some();
     let handover = handover::Handover::new(inherits);
     let fleet = servers::Fleet::new(core.clone(), config.links, config.server_sockets, handover.clone());
@@ -169,6 +180,9 @@
     while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
+    if let Some(usage) = usage {
+        usage.stop().await;
+    }
     let (ids, servers) = core.held();
     log!("stopped requests={} connections={} ids={ids} servers={servers}", core.busy(), shared.open());
     Ok(())
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -3,6 +3,7 @@
 use crate::clients::Shared;
 use crate::core::Tally;
 use std::fmt::{Display, Write as _};
+use std::sync::atomic::{AtomicU64, Ordering};
 
 /// The figures' names begin with this.
 const PREFIX: &str = "router_";
@@ -54,6 +55,15 @@
     page.one("targets_disabled", "gauge", "Listed workers that get nothing now.", disabled);
     page.one("reload_success", "counter", "Configurations taken over on SIGHUP.", reloads);
     page.one("reload_failure", "counter", "Configurations turned down on SIGHUP.", failed);
+    if let Some(usage) = core.usage() {
+        let state = usage.state();
+        let count = |count: &AtomicU64| count.load(Ordering::Relaxed);
+        let stopped = u8::from(state.stopped.load(Ordering::Relaxed));
+        page.one("ledger_entries", "counter", "Entries of use on the disk.", count(&state.entries));
+        page.one("ledger_exported", "counter", "Entries of use that the sink has.", count(&state.exported));
+        page.one("ledger_lost", "counter", "Requests that the ledger lacks.", count(&state.lost));
+        page.one("ledger_stopped", "gauge", "1 if the ledger's disk failed.", stopped);
+    }
     page.0
 }
 
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -9,12 +9,14 @@
 use crate::handover::{Carried, Form, Framing, Handover, Stays, Text};
 use crate::log;
 use crate::sse;
+use crate::usage;
 use actix_http::error::ParseError;
 use awc::ClientResponse;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::CONTENT_TYPE;
 use bytes::{Bytes, BytesMut};
+use fawnstream_ledger::entry::Tokens;
 use futures_core::Stream;
 use link::{Lane, Pool, Raw};
 use serde::Deserialize;
@@ -72,14 +74,15 @@
     ) -> Option<Box<dyn FnOnce()>> {
         let Carried { form, client, server } = carried;
         let raw = Raw::new(server, form.framing, self.pool.carried()?)?;
-        let tail = Tail::resume(form.event.0, form.done, form.kept)?;
+        let tail = Tail { used: form.used, ..Tail::resume(form.event.0, form.done, form.kept)? };
         let class = self.core.names().classes.iter().position(|class| *class == form.class);
         let age = Duration::from_millis(form.age_ms.min(LONGEST_AGE_MS));
-        let call = Call::carried(form.label, class.map(ClassId), age);
+        let told = form.bill.as_ref().map_or(0.0, |bill| bill.prompt);
+        let call = Call::carried(form.label, class.map(ClassId), age, told);
         let exchange = Exchange::new(call);
         let fleet = self.clone();
         Some(Box::new(move || {
-            let Some((order, end)) = fleet.core.carry(exchange, &form.server, form.address) else {
+            let Some((order, end)) = fleet.core.carry(exchange, &form.server, form.address, form.bill) else {
                 return log!("handover dropped reason=twice");
             };
             clients(end, client);
@@ -151,6 +154,7 @@
     seen: usize,
     done: bool,
     kept: Option<f64>,
+    used: Option<Tokens>,
     report: Option<Report>,
 }
 
@@ -162,7 +166,14 @@
     fn resume(held: Vec<u8>, done: bool, kept: Option<f64>) -> Option<Self> {
         let seen = held.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
         let fits = held.len() <= LARGEST_EVENT;
-        fits.then(|| Tail { held: BytesMut::from(held.as_slice()), seen, done, kept, report: None })
+        fits.then(|| Tail {
+            held: BytesMut::from(held.as_slice()),
+            seen,
+            done,
+            kept,
+            used: None,
+            report: None,
+        })
     }
 
     /// The events that this piece makes whole, as they came.
@@ -175,8 +186,9 @@
             if line.is_empty() {
                 whole = end;
             }
-            let Line { done, kept, report } = line_of(line)?;
+            let Line { done, kept, used, report } = line_of(line)?;
             self.done |= done;
+            self.used = used.or(self.used);
             self.kept = kept.or(self.kept);
             self.report = report.or(self.report);
             self.seen = end;
@@ -203,6 +215,7 @@
 struct Line {
     done: bool,
     kept: Option<f64>,
+    used: Option<Tokens>,
     report: Option<Report>,
 }
 
@@ -214,8 +227,12 @@
         {
             return Err(Garbage);
         }
-        if data.windows(14).any(|part| part == b"\"cached_tokens") {
-            told.kept = cached(data);
+        if data.windows(14).any(|part| part == b"\"prompt_tokens") {
+            let usage = serde_json::from_slice(data)
+                .ok()
+                .and_then(|mut value: serde_json::Value| value.as_object_mut()?.remove("usage"));
+            told.kept = usage.as_ref().and_then(cached);
+            told.used = usage.as_ref().and_then(usage::tokens);
         }
     } else if line.first() == Some(&b':') {
         // A comment; a report that cannot be read is none, and its stream a good one.
@@ -229,9 +246,8 @@
 }
 
 /// Prompt tokens found kept, as the last events of a stream report them.
-fn cached(data: &[u8]) -> Option<f64> {
-    let value: serde_json::Value = serde_json::from_slice(data).ok()?;
-    value.pointer("/usage/prompt_tokens_details/cached_tokens")?.as_f64()
+fn cached(usage: &serde_json::Value) -> Option<f64> {
+    usage.pointer("/prompt_tokens_details/cached_tokens")?.as_f64()
 }
 
 /// What an attempt goes by.
@@ -357,6 +373,8 @@
             event: Text(tail.held.to_vec()),
             done: tail.done,
             kept: tail.kept,
+            used: tail.used,
+            bill: self.core.bill(&order.exchange.call),
         };
         let server = source.detach()?;
         match call.give(&form, &client, &server).await {
@@ -374,6 +392,7 @@
     Ended {
         verdict,
         kept: tail.kept,
+        used: tail.used,
         report: tail.report,
         written: true,
         reason,
@@ -388,6 +407,7 @@
     let ended = |verdict, written, reason| Ended {
         verdict,
         kept: None,
+        used: None,
         report: None,
         written,
         reason,
@@ -488,6 +508,7 @@
     Some(Ended {
         verdict,
         kept,
+        used: None,
         report: told,
         written: true,
         reason,
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -138,6 +138,10 @@
         std::fs::write(&keys, std::fs::read_to_string(&openai).unwrap() + key).unwrap();
         let etcd = self.folder.join("etcd.toml");
         std::fs::write(&etcd, self.filled("endpoint = \"{d}\"\nprefix = \"/s/\"\n")).unwrap();
+        let (ledger, usage) = (self.folder.join("ledger.toml"), self.shared.join("usage"));
+        let kept = include_str!("../../deploy/ledger.toml").split("[sink]").next().unwrap();
+        let kept = kept.replace("/var/lib/fawnstream/usage", usage.to_str().unwrap());
+        std::fs::write(&ledger, kept.replace("sync_ms = 200", "sync_ms = 5")).unwrap();
         // `ulimit:N` among the arguments gives the program so many descriptors.
         let few = arguments.split_whitespace().find_map(|argument| argument.strip_prefix("ulimit:"));
         let mut command = Command::new("sh");
@@ -166,6 +170,7 @@
                 "FILE" => openai.clone().into_os_string(),
                 "KEYS" => keys.clone().into_os_string(),
                 "ETCD" => etcd.clone().into_os_string(),
+                "LEDGER" => ledger.clone().into_os_string(),
                 _ => word.into(),
             },
         ));
