--- a/router/tests/ledger.rs
+++ b/router/tests/ledger.rs
@@ -329,8 +329,16 @@
     let full = begin(command(&at, "n0", servers, nobody, "trap '' XFSZ; ulimit -f 4;", true), "n0");
     (0..20).for_each(|number| assert!(full.ask(number, number)));
     full.wait("router_ledger_stopped", 1);
-    let (written, lost) = (full.figure("router_ledger_entries"), full.figure("router_ledger_lost"));
-    assert!(written > 0 && lost > 0 && written + lost == 20, "{written} written, {lost} lost");
+    // Each is on the disk or lost, once the last of them have been synced.
+    let until = Instant::now() + PATIENCE;
+    let written = loop {
+        let (written, lost) = (full.figure("router_ledger_entries"), full.figure("router_ledger_lost"));
+        if written > 0 && lost > 0 && written + lost == 20 {
+            break written;
+        }
+        assert!(Instant::now() < until, "{written} written, {lost} lost");
+        std::thread::sleep(Duration::from_millis(5));
+    };
     assert_eq!(full.figure("router_success{type=\"log-chat\"}"), 20);
     drop(full);
     let router = start(&at, "n0", servers, nobody);
