--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -6,7 +6,6 @@
 use crate::config::ledger::Ledger;
 use crate::exchange::Call;
 use crate::handover::Bill;
-use crate::log;
 use fawnstream_ledger::book::{Begun, Book, Rules, Used};
 use fawnstream_ledger::entry::{Outcome, Record, Tokens};
 use fawnstream_ledger::store::{Log, StoreError};
@@ -94,6 +93,9 @@
         quotas: &[f64],
         waits: bool,
     ) -> Result<Rc<Self>, UsageError> {
+        // Its lines are structured; those of connections stay with the house log. A second start in a process keeps
+        // the first one's.
+        let _ = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).try_init();
         let rules = Rules {
             router: router.to_owned(),
             period_ms: told.period_ms,
@@ -113,7 +115,7 @@
                     let late = |std::sync::mpsc::SendError(error)| {
                         // The start went on meanwhile, while another process held the files.
                         if let Err(error) = error {
-                            log!("ledger stopped reason=\"{error}\"");
+                            tracing::error!(reason = %error, "ledger stopped");
                         }
                     };
                     return begun.send(Err(error)).unwrap_or_else(late);
@@ -194,7 +196,7 @@
         let mut book = Book::fresh(rules.clone(), now_ms());
         match Log::open(&told.folder, KIND, &rules.router, told.segment, |record| book.replay(&record)) {
             Ok((log, torn)) => {
-                log!("ledger open next={} open_from={} torn={torn}", book.next(), book.open_from());
+                tracing::info!(next = book.next(), open_from = book.open_from(), torn, "ledger open");
                 return Ok((book, log));
             }
             Err(StoreError::Locked { .. }) if waits && Instant::now() < until => {
@@ -225,7 +227,7 @@
         if let Some(sink) = self.told.sink.clone() {
             match export::Export::open(&self.told, sink, &self.router, self.state.clone()) {
                 Ok(export) => drop(actix_rt::spawn(export.run(follow))),
-                Err(error) => log!("ledger export stopped reason=\"{error}\""),
+                Err(error) => tracing::error!(reason = %error, "ledger export stopped"),
             }
         }
         let mut periods = Instant::now();
@@ -310,7 +312,7 @@
     fn fail(&mut self, error: &StoreError, entries: u64) {
         self.state.lost.fetch_add(entries, Ordering::Relaxed);
         if !self.state.stopped.swap(true, Ordering::Relaxed) {
-            log!("ledger stopped reason=\"{error}\"");
+            tracing::error!(reason = %error, "ledger stopped");
         }
     }
 }
--- a/router/src/usage/export.rs
+++ b/router/src/usage/export.rs
@@ -3,7 +3,6 @@
 
 use super::{KIND, State};
 use crate::config::ledger::{Ledger, Sink};
-use crate::log;
 use awc::http::header::CONTENT_TYPE;
 use fawnstream_ledger::batch::{Batch, Progress, Step};
 use fawnstream_ledger::entry::{Entry, Record};
@@ -52,7 +51,7 @@
         let mut progress = Progress::default();
         let (steps, _) = Log::open(&told.folder, PROGRESS, router, SEGMENT, |step| progress.step(step))?;
         let ledger = Reader::open(&told.folder, KIND)?;
-        log!("ledger export has={} pending={}", progress.has, progress.pending.is_some());
+        tracing::info!(has = progress.has, pending = progress.pending.is_some(), "ledger export");
         let (router, held) = (router.to_owned(), Vec::new());
         Ok(Export { sink, router, state, progress, steps, ledger, held, wait: FIRST_WAIT, tries: 0 })
     }
@@ -66,7 +65,7 @@
                 Ok(true) => {}
                 Ok(false) if on_disk.changed().await.is_ok() => {}
                 Ok(false) => return,
-                Err(error) => return log!("ledger export stopped reason=\"{error}\""),
+                Err(error) => return tracing::error!(reason = %error, "ledger export stopped"),
             }
         }
     }
@@ -127,7 +126,7 @@
             Ok(answer) => answer.status().to_string(),
             Err(error) => error.to_string(),
         };
-        log!("ledger export batch={name} reason=\"{said}\"");
+        tracing::warn!(batch = name, reason = said, "ledger export");
         false
     }
 }
