Rebuild the decisions on long-lived connections for size, with lines, retries and sending away

The old ones walked over all connections on an open, a drain and an end, had no line for new connections, one try a move and nothing for a router that goes.

Change: servers that are ready stand in an order by their next turn, connections in one by age at each server; what takes time is handed out in parts of 256 at told times. New connections wait for a turn (customers in turn, one turn in four during a release); an opening or a move is tried again where it cannot have run; what lost its upstream is first in line; a drained router closes its connections evenly.

Ruled out: a walk over the connections of a server that drains (100,000 in one event).

--- a/sessions/tests/sessions.rs
+++ b/sessions/tests/sessions.rs
@@ -1,7 +1,8 @@
 //! What must hold for long-lived connections whatever happens, and a release with cold successors.
 
 use fawnstream_sessions::{
-    Action, Code, Millis, Rules, ServerId, SessionId, Sessions, TenantId, Turned, Warmth,
+    AT_ONCE, Action, Attempt, Code, Counts, Millis, Rules, ServerId, SessionId, Sessions, TenantId, Turned,
+    Warmth,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -15,40 +16,62 @@
         most_of_tenant: 300,
         most_waiting: 200,
         longest_wait: 4_000,
+        most_asking: 100,
+        longest_ask: 400,
+        tries: 2,
+        away_over: 1_500,
         warm_per_s: 80.0,
         warmth: Warmth { cold_share: 0.3, cold: 10_000 },
     }
 }
 
-/// The server with fewest connections, as a decision module might pick.
-fn fewest(held: impl Fn(ServerId) -> usize, among: &[ServerId]) -> Option<ServerId> {
-    among.iter().copied().min_by_key(|server| (held(*server), *server))
+/// Lets so many in, one every 200 ms, at the offered server that rested longest.
+fn fill(sessions: &mut Sessions, ids: std::ops::Range<u64>, mut now: Millis) -> Millis {
+    for id in ids {
+        sessions.ask(SessionId(id), TenantId(id % 2), true, now).unwrap();
+        for action in sessions.tick(now, |_, offered| offered.first().copied()) {
+            let Action::Open { session, .. } = action else { panic!("{action:?}") };
+            assert_eq!(sessions.tried(session, Attempt::Taken, now), None);
+        }
+        now += 200;
+    }
+    now
 }
 
 #[derive(Clone, Debug)]
 enum Step {
-    Open(u64, u64),
-    End(u64),
-    Bind(u64),
+    Ask(u64),
+    End(usize),
+    Bind(usize, bool),
     List(u64, bool),
-    Drain(u64),
-    Gone(u64),
-    Tick,
-    Moved(u64, bool),
+    Drain(u64, bool),
+    Tick(usize),
+    Tried(usize, Attempt),
+    Broke(usize),
+    Away,
+    Back,
 }
 
 fn steps() -> impl Strategy<Value = Vec<(u64, Step)>> {
+    let attempt = prop_oneof![
+        4 => Just(Attempt::Taken),
+        1 => Just(Attempt::Never),
+        1 => Just(Attempt::Maybe),
+        1 => Just(Attempt::NotNow)
+    ];
     let step = prop_oneof![
-        6 => (0..6u64, 0..3u64).prop_map(|(server, tenant)| Step::Open(server, tenant)),
-        1 => (0..60u64).prop_map(Step::End),
-        1 => (0..60u64).prop_map(Step::Bind),
-        2 => (0..6u64, any::<bool>()).prop_map(|(server, fresh)| Step::List(server, fresh)),
-        1 => (0..6u64).prop_map(Step::Drain),
-        1 => (0..6u64).prop_map(Step::Gone),
-        4 => Just(Step::Tick),
-        4 => (0..60u64, any::<bool>()).prop_map(|(session, well)| Step::Moved(session, well)),
+        8 => (0..3u64).prop_map(Step::Ask),
+        1 => (0..60usize).prop_map(Step::End),
+        1 => (0..60usize, any::<bool>()).prop_map(|(session, movable)| Step::Bind(session, movable)),
+        3 => (0..6u64, any::<bool>()).prop_map(|(server, fresh)| Step::List(server, fresh)),
+        2 => (0..6u64, any::<bool>()).prop_map(|(server, gone)| Step::Drain(server, gone)),
+        8 => (0..16usize).prop_map(Step::Tick),
+        8 => (0..60usize, attempt).prop_map(|(session, attempt)| Step::Tried(session, attempt)),
+        2 => (0..60usize).prop_map(Step::Broke),
+        1 => Just(Step::Away),
+        1 => Just(Step::Back),
     ];
-    prop::collection::vec((0..700u64, step), 1..120)
+    prop::collection::vec((0..500u64, step), 1..200)
 }
 
 /// The same cases each time: a run says the same as the one before it. Other seeds are for looking further.
@@ -57,142 +80,181 @@
     ProptestConfig { rng_seed: RngSeed::Fixed(seed), failure_persistence: None, ..ProptestConfig::default() }
 }
 
+/// A connection as its router sees it: where it has an upstream, and where one is being opened.
+#[derive(Clone, Copy, Default)]
+struct Seen {
+    at: Option<u64>,
+    to: Option<u64>,
+}
+
 proptest! {
     #![proptest_config(fixed())]
-    /// Caps hold, nothing is closed twice or moved to a server that takes nothing, what is held adds up, and nobody
-    /// waits for longer than it may.
+    /// Caps hold; nothing ends twice, has two attempts out, or is sent to a server that takes nothing; what is held
+    /// adds up at each server; nobody waits for longer than it may; and time alone ends every wait.
     #[test]
     fn every_connection_ends_once_and_all_adds_up(steps in steps()) {
-        let rules = Rules { most: 30, most_at_server: 8, most_of_tenant: 12, most_waiting: 5, ..rules(2) };
+        let rules = Rules {
+            most: 30, most_at_server: 8, most_of_tenant: 12, most_waiting: 5, most_asking: 6, ..rules(2)
+        };
         let mut sessions = Sessions::new(rules, 7);
-        let (mut now, mut next) = (20_000, 0);
-        // Where each connection is as its router sees it, and since when it waits.
-        let mut open: BTreeMap<u64, (u64, Option<Millis>)> = BTreeMap::new();
-        let mut moving: BTreeMap<u64, u64> = BTreeMap::new();
-        (0..3).for_each(|server| sessions.listed(ServerId(server), None));
+        let (mut now, mut next) = (20_000, 0u64);
+        let mut seen: BTreeMap<u64, Seen> = BTreeMap::new();
+        let mut drains: BTreeMap<u64, bool> = BTreeMap::new();
+        for server in 0..3 {
+            sessions.listed(ServerId(server), None, now);
+            drains.insert(server, false);
+        }
+        let nth = |seen: &BTreeMap<u64, Seen>, place: usize| {
+            seen.keys().nth(place % seen.len().max(1)).copied()
+        };
         for (wait, step) in steps {
             now += wait;
-            let before = open.clone();
-            let actions = match step {
-                Step::Open(server, tenant) => {
-                    if sessions.open(SessionId(next), TenantId(tenant), ServerId(server), now).is_ok() {
-                        open.insert(next, (server, None));
-                        next += 1;
+            let mut actions = Vec::new();
+            match step {
+                Step::Ask(tenant) => {
+                    if sessions.ask(SessionId(next), TenantId(tenant), next % 2 == 0, now).is_ok() {
+                        seen.insert(next, Seen::default());
                     }
-                    Vec::new()
+                    next += 1;
                 }
-                Step::End(session) => {
-                    sessions.ended(SessionId(session));
-                    open.remove(&session);
-                    moving.remove(&session);
-                    Vec::new()
+                Step::End(place) => {
+                    if let Some(id) = nth(&seen, place) {
+                        sessions.ended(SessionId(id));
+                        sessions.ended(SessionId(id));
+                        seen.remove(&id);
+                    }
                 }
-                Step::Bind(session) => {
-                    sessions.bind(SessionId(session), true);
-                    Vec::new()
+                Step::Bind(place, movable) => {
+                    if let Some(id) = nth(&seen, place) {
+                        sessions.movable(SessionId(id), movable);
+                    }
                 }
                 Step::List(server, fresh) => {
-                    sessions.listed(ServerId(server), fresh.then_some(now));
-                    Vec::new()
+                    sessions.listed(ServerId(server), fresh.then_some(now), now);
+                    drains.insert(server, false);
                 }
-                Step::Drain(server) => {
-                    let actions = sessions.drains(ServerId(server), now);
-                    for (id, (at, since)) in &mut open {
-                        if *at == server && !moving.contains_key(id) {
-                            since.get_or_insert(now);
-                        }
-                    }
-                    actions
+                Step::Drain(server, gone) => {
+                    sessions.drains(ServerId(server), gone, now);
+                    drains.insert(server, true);
                 }
-                Step::Gone(server) => sessions.gone(ServerId(server), now),
-                Step::Tick => {
-                    let held: BTreeMap<u64, usize> = (0..6).map(|s| (s, sessions.held(ServerId(s)))).collect();
-                    let actions = sessions.tick(now, |_, among| fewest(|server| held[&server.0], among));
-                    for (id, (_, since)) in &open {
-                        let ended = actions.iter().any(|action| matches!(action, Action::Close { session, .. } if session.0 == *id));
-                        let gone = moving.contains_key(id) || actions.iter().any(|action| matches!(action, Action::Move { session, .. } if session.0 == *id));
-                        if let Some(since) = since.filter(|_| !ended && !gone) {
-                            prop_assert!(now - since <= rules.longest_wait, "{id} has waited since {since}");
+                Step::Tick(place) => actions = sessions.tick(now, |_, offered| {
+                    assert!(offered.iter().all(|server| !drains[&server.0]));
+                    offered.get(place).or(offered.first()).copied().filter(|_| place != 15)
+                }),
+                Step::Tried(place, attempt) => {
+                    if let Some(id) = nth(&seen, place) {
+                        actions.extend(sessions.tried(SessionId(id), attempt, now));
+                        if let Some(known) = seen.get_mut(&id)
+                            && let Some(to) = known.to.take()
+                            && attempt == Attempt::Taken
+                        {
+                            known.at = Some(to);
                         }
                     }
-                    actions
                 }
-                Step::Moved(session, well) => {
-                    let action = sessions.moved(SessionId(session), well, now);
-                    if let (Some(to), None) = (moving.remove(&session), action) {
-                        open.insert(session, (to, None));
+                Step::Broke(place) => {
+                    if let Some(id) = nth(&seen, place).filter(|id| seen[id].at.is_some()) {
+                        actions.extend(sessions.broke(SessionId(id), now));
+                        seen.get_mut(&id).unwrap().at = None;
                     }
-                    action.into_iter().collect()
                 }
-            };
+                Step::Away => sessions.go_away(now),
+                Step::Back => sessions.come_back(),
+            }
             for action in actions {
                 match action {
-                    Action::Close { session, again, .. } => {
-                        prop_assert!(open.remove(&session.0).is_some(), "closed twice, or never open");
-                        moving.remove(&session.0);
+                    Action::Close { session, again, .. } | Action::Turn { session, again, .. } => {
+                        let known = seen.remove(&session.0);
+                        prop_assert!(known.is_some(), "ended twice, or never there");
                         prop_assert!(again > 0);
                     }
-                    Action::Move { session, to } => {
-                        prop_assert!(before.contains_key(&session.0));
-                        prop_assert!(moving.insert(session.0, to.0).is_none());
+                    Action::Open { session, to } | Action::Move { session, to } => {
+                        let known = seen.get_mut(&session.0).expect("one that is there");
+                        let new = matches!(action, Action::Open { .. });
+                        prop_assert!(known.to.is_none(), "two attempts at once");
+                        prop_assert!(!new || known.at.is_none());
+                        known.to = Some(to.0);
                     }
                 }
             }
-            let (count, waiting) = sessions.count();
-            prop_assert_eq!(count, open.len());
-            prop_assert!(waiting <= rules.most_waiting && count <= rules.most);
+            let counts = sessions.counts();
+            let Counts { open, asking, waiting, trying } = counts;
+            prop_assert_eq!(open + asking + waiting + trying, seen.len());
+            prop_assert_eq!(trying, seen.values().filter(|known| known.to.is_some()).count());
+            prop_assert!(asking <= rules.most_asking + 1 && seen.len() <= rules.most, "{:?}", counts);
             for server in 0..6 {
-                let held = open.values().filter(|(at, _)| *at == server).count()
-                    + moving.values().filter(|at| **at == server).count();
-                let known = sessions.held(ServerId(server));
-                prop_assert!(known == held || known == 0 && !sessions.takes(ServerId(server), u64::MAX), "{server}: {known}, {held}");
-                prop_assert!(known <= rules.most_at_server);
+                let at = |known: &&Seen| known.at == Some(server) || known.to == Some(server);
+                let held = seen.values().filter(at).count();
+                prop_assert_eq!(sessions.held(ServerId(server)), held, "at {}", server);
+                prop_assert!(held <= rules.most_at_server);
+            }
+        }
+        // Whatever is out fails; then time alone ends every wait, and what is left is open.
+        for (id, _) in seen.clone().iter().filter(|(_, known)| known.to.is_some()) {
+            if sessions.tried(SessionId(*id), Attempt::Never, now).is_some() {
+                seen.remove(id);
+            }
+        }
+        (0..6).for_each(|server| sessions.drains(ServerId(server), true, now));
+        for _ in 0..200 {
+            let Some(wake) = sessions.wake() else { break };
+            now = now.max(wake);
+            for action in sessions.tick(now, |_, _| None) {
+                let (Action::Close { session, .. } | Action::Turn { session, .. }) = action else {
+                    panic!("{action:?} with no server")
+                };
+                prop_assert!(seen.remove(&session.0).is_some());
             }
         }
+        prop_assert!(seen.is_empty() && sessions.counts() == Counts::default());
+        (0..6).for_each(|server| assert_eq!(sessions.held(ServerId(server)), 0));
     }
 }
 
 /// A release as all routers see it: so many routers, each with so many connections at three servers that drain
-/// at once; two cold servers take their place. Gives each successor's arrivals, how many were closed, and how long it took.
+/// at once; two cold servers take their place. Gives each successor's arrivals, how many were closed, and how long
+/// it took.
 fn release(routers: u32, each: u64) -> (BTreeMap<ServerId, Vec<Millis>>, usize, Millis) {
-    let start = 100_000;
+    let start = 200_000;
     let mut all: Vec<Sessions> =
         (0..routers).map(|router| Sessions::new(rules(routers), u64::from(router))).collect();
     for sessions in &mut all {
-        // Opened long before, one at a time.
-        (0..3).for_each(|server| sessions.listed(ServerId(server), None));
+        (0..3).for_each(|server| sessions.listed(ServerId(server), None, 0));
+        // New ones wait for turns of 600 ms where 48 routers share them.
+        let mut now = 10_000;
         for id in 0..each {
-            let at = ServerId(id % 3);
-            let now = start - 90_000 + id * 200;
-            assert_eq!(sessions.open(SessionId(id), TenantId(id % 2), at, now), Ok(()));
+            now = fill(sessions, id..id + 1, now + 400);
         }
-        sessions.listed(ServerId(8), Some(start - 500));
-        sessions.listed(ServerId(9), Some(start - 500));
+        assert!(now <= start && sessions.counts().open == each as usize);
+        sessions.listed(ServerId(8), Some(start - 500), start - 500);
+        sessions.listed(ServerId(9), Some(start - 500), start - 500);
+        (0..3).for_each(|server| sessions.drains(ServerId(server), false, start));
     }
     let (mut arrivals, mut closed): (BTreeMap<ServerId, Vec<Millis>>, _) = (BTreeMap::new(), 0);
-    for sessions in &mut all {
-        closed += (0..3).map(|server| sessions.drains(ServerId(server), start).len()).sum::<usize>();
-    }
     let mut now = start;
-    while all.iter().any(|sessions| sessions.count().1 > 0) {
+    while all.iter().any(|sessions| sessions.counts().waiting > 0) {
         for sessions in &mut all {
-            let held = [8, 9].map(|server| sessions.held(ServerId(server)));
-            let actions =
-                sessions.tick(now, |_, among| fewest(|server| held[(server.0 - 8) as usize], among));
-            for action in actions {
-                match action {
-                    Action::Move { session, to } => {
-                        arrivals.entry(to).or_default().push(now);
-                        assert_eq!(sessions.moved(session, true, now), None);
-                    }
-                    Action::Close { code, .. } => {
-                        assert_eq!(code, Code::Restart);
-                        closed += 1;
+            while sessions.wake().is_some_and(|wake| wake <= now) {
+                let held = [8, 9].map(|server| sessions.held(ServerId(server)));
+                let fewest = |_, offered: &[ServerId]| {
+                    offered.iter().copied().min_by_key(|server| held[(server.0 - 8) as usize])
+                };
+                for action in sessions.tick(now, fewest) {
+                    match action {
+                        Action::Move { session, to } => {
+                            arrivals.entry(to).or_default().push(now);
+                            assert_eq!(sessions.tried(session, Attempt::Taken, now), None);
+                        }
+                        Action::Close { code, .. } => {
+                            assert_eq!(code, Code::Restart);
+                            closed += 1;
+                        }
+                        other => panic!("{other:?}"),
                     }
                 }
             }
         }
-        now += 10;
+        now += 5;
     }
     (arrivals, closed, now - start)
 }
@@ -210,14 +272,10 @@
             for (first, from) in times.iter().enumerate() {
                 for (last, to) in times.iter().enumerate().skip(first) {
                     // Warmth only grows: what it takes at the window's end is the most.
-                    let warm = 0.3 + 0.7 * (*to - 99_500) as f64 / 10_000.0;
+                    let warm = 0.3 + 0.7 * (*to - 199_500) as f64 / 10_000.0;
                     let most = 80.0 * warm * (to - from) as f64 / 1_000.0 + f64::from(routers);
-                    assert!(
-                        (last - first + 1) as f64 <= most + 1.0,
-                        "{routers} routers: {} in {} ms",
-                        last - first + 1,
-                        to - from
-                    );
+                    let came = (last - first + 1) as f64;
+                    assert!(came <= most + 1.0, "{routers} routers: {came} in {} ms", to - from);
                 }
             }
         }
@@ -225,41 +283,126 @@
     }
 }
 
+/// A release takes most of the turns, and yet new connections come in; one customer's storm does not shut the others
+/// out.
+#[test]
+fn a_release_and_a_storm_leave_turns_for_others() {
+    let mut sessions = Sessions::new(rules(1), 1);
+    (0..3).for_each(|server| sessions.listed(ServerId(server), None, 0));
+    let now = fill(&mut sessions, 0..200, 1_000);
+    sessions.drains(ServerId(0), false, now);
+    (0..80).for_each(|id| sessions.ask(SessionId(1_000 + id), TenantId(5), true, now).unwrap());
+    (0..3).for_each(|id| sessions.ask(SessionId(2_000 + id), TenantId(6), true, now).unwrap());
+    let (mut order, mut moves) = (Vec::new(), 0);
+    for at in now..now + 400 {
+        for action in sessions.tick(at, |_, offered| offered.first().copied()) {
+            match action {
+                Action::Open { session, .. } => order.push(session.0),
+                Action::Move { .. } => moves += 1,
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+    let quiet: Vec<usize> =
+        (0..3).filter_map(|id| order.iter().position(|known| *known == 2_000 + id)).collect();
+    assert!(quiet.len() == 3 && quiet[2] <= 6, "{order:?}");
+    assert!(moves >= 2 * order.len() && order.len() >= 12, "{moves} moves, {} new", order.len());
+    // The rest of the storm hears at once when its wait ends.
+    let turned = sessions.tick(now + 400, |_, _| None);
+    let busy = |action: &&Action| matches!(action, Action::Turn { why: Turned::Busy, .. });
+    assert_eq!(turned.iter().filter(busy).count(), 83 - order.len());
+}
+
 #[test]
-fn caps_turn_away_and_bound_sessions_do_not_move() {
-    let mut sessions = Sessions::new(Rules { most: 3, most_of_tenant: 2, ..rules(1) }, 1);
-    let (a, b) = (ServerId(1), ServerId(2));
-    sessions.listed(a, None);
-    let mut open = |id, tenant, now| sessions.open(SessionId(id), TenantId(tenant), a, now);
-    assert_eq!((open(1, 1, 0), open(2, 1, 5)), (Ok(()), Err(Turned::Router)), "the pace");
-    assert_eq!((open(2, 1, 100), open(3, 1, 200)), (Ok(()), Err(Turned::Tenant)));
-    assert_eq!((open(3, 2, 300), open(4, 3, 400)), (Ok(()), Err(Turned::Router)));
-    sessions.listed(b, None);
-    sessions.bind(SessionId(1), true);
-    // What may have been told to the old server is not told to another: closed, the others wait.
-    let actions = sessions.drains(a, 1_000);
-    assert!(matches!(actions[..], [Action::Close { session: SessionId(1), code: Code::Restart, .. }]));
-    assert!(!sessions.takes(a, 1_000));
-    let moves = sessions.tick(1_000, |_, among| among.first().copied());
-    assert_eq!(moves, [Action::Move { session: SessionId(2), to: b }]);
-    // The move fails, and the old server goes before the other's turn.
-    let failed = sessions.moved(SessionId(2), false, 1_001);
-    assert!(matches!(failed, Some(Action::Close { code: Code::TryLater, .. })));
-    let gone = sessions.gone(a, 1_002);
-    assert!(matches!(gone[..], [Action::Close { session: SessionId(3), code: Code::Away, .. }]));
-    assert_eq!((sessions.count(), sessions.held(b)), ((0, 0), 0));
+fn caps_turn_away() {
+    let mut sessions = Sessions::new(Rules { most: 3, most_of_tenant: 2, most_asking: 2, ..rules(1) }, 1);
+    let mut ask = |id, tenant| sessions.ask(SessionId(id), TenantId(tenant), true, 0).map_err(|(why, _)| why);
+    assert_eq!((ask(1, 1), ask(2, 1), ask(3, 1)), (Ok(()), Ok(()), Err(Turned::Tenant)));
+    assert_eq!(ask(4, 2), Err(Turned::Router), "the line of those that ask is full");
+    sessions.listed(ServerId(1), None, 0);
+    let opened = sessions.tick(0, |_, offered| offered.first().copied());
+    assert_eq!(opened, [Action::Open { session: SessionId(1), to: ServerId(1) }]);
+    // Turned away and tried elsewhere while it may be; then it is told so. The server rests meanwhile.
+    assert_eq!(sessions.tried(SessionId(1), Attempt::Never, 1), None);
+    assert_eq!(sessions.tick(150, |_, offered| offered.first().copied()), []);
+    sessions.listed(ServerId(2), None, 150);
+    let again = sessions.tick(150, |_, offered| offered.first().copied());
+    assert_eq!(again, [Action::Open { session: SessionId(1), to: ServerId(2) }]);
+    let turned = sessions.tried(SessionId(1), Attempt::Never, 151);
+    assert!(matches!(turned, Some(Action::Turn { session: SessionId(1), why: Turned::Full, .. })));
+    // What may have run is not made again where it must not run twice.
+    sessions.ended(SessionId(2));
+    sessions.ask(SessionId(5), TenantId(1), false, 300).unwrap();
+    sessions.tick(400, |_, offered| offered.first().copied());
+    let failed = sessions.tried(SessionId(5), Attempt::Maybe, 401);
+    assert!(matches!(failed, Some(Action::Turn { why: Turned::Failed, .. })));
+    assert_eq!(sessions.counts(), Counts::default());
 }
 
-/// Clients that are sent away together do not come back together.
+/// What cannot move when its turn comes is closed then; a failed move goes on at the old server until its tries are
+/// used up; one whose upstream broke is first in line.
 #[test]
-fn times_to_come_again_are_spread() {
-    let mut sessions = Sessions::new(Rules { most_waiting: 0, ..rules(1) }, 3);
-    sessions.listed(ServerId(1), None);
-    (0..200).for_each(|id| sessions.open(SessionId(id), TenantId(id), ServerId(1), id * 50).unwrap());
-    let mut halves = [0; 2];
-    for action in sessions.drains(ServerId(1), 20_000) {
-        let Action::Close { again, .. } = action else { panic!("moved without a server") };
-        halves[usize::from(again > 20_000)] += 1;
+fn moves_end_in_one_outcome() {
+    let mut sessions = Sessions::new(rules(1), 1);
+    sessions.listed(ServerId(1), None, 0);
+    let now = fill(&mut sessions, 0..4, 1_000);
+    sessions.movable(SessionId(0), false);
+    sessions.movable(SessionId(2), false);
+    sessions.drains(ServerId(1), false, now);
+    assert_eq!((sessions.counts().waiting, sessions.tick(now, |_, _| None)), (4, vec![]));
+    sessions.listed(ServerId(2), None, now);
+    // It has been acknowledged meanwhile.
+    sessions.movable(SessionId(2), true);
+    assert_eq!(sessions.broke(SessionId(3), now), None);
+    let first = sessions.tick(now, |_, offered| offered.first().copied());
+    assert_eq!(first, [Action::Move { session: SessionId(3), to: ServerId(2) }]);
+    assert_eq!(sessions.tried(SessionId(3), Attempt::Taken, now), None);
+    let next = sessions.tick(now + 50, |_, offered| offered.first().copied());
+    assert!(matches!(
+        next[..],
+        [
+            Action::Close { session: SessionId(0), code: Code::Restart, .. },
+            Action::Move { session: SessionId(1), .. }
+        ]
+    ));
+    assert_eq!(sessions.tried(SessionId(1), Attempt::Never, now + 60), None, "it waits on");
+    assert_eq!(sessions.held(ServerId(1)), 2);
+    // The old server is gone before the next turn comes.
+    sessions.drains(ServerId(1), true, now + 70);
+    let again = sessions.tick(now + 300, |_, offered| offered.first().copied());
+    assert_eq!(again, [Action::Move { session: SessionId(1), to: ServerId(2) }]);
+    let tired = sessions.tried(SessionId(1), Attempt::Never, now + 310);
+    assert!(matches!(tired, Some(Action::Close { code: Code::TryLater, .. })));
+    let late = sessions.tick(now + 4_000, |_, _| None);
+    assert!(matches!(late[..], [Action::Close { session: SessionId(2), code: Code::Away, .. }]));
+    assert_eq!((sessions.held(ServerId(1)), sessions.counts().open), (0, 1));
+}
+
+/// A drained router closes its connections evenly, in parts that one event can take, and their clients do not come
+/// back together.
+#[test]
+fn a_router_that_goes_sends_all_away_evenly() {
+    let many = Rules { most: 5_000, most_of_tenant: 5_000, most_at_server: 5_000, ..rules(1) };
+    let mut sessions = Sessions::new(many, 3);
+    sessions.listed(ServerId(1), None, 0);
+    let start = fill(&mut sessions, 0..1_000, 1_000);
+    sessions.go_away(start);
+    let refused = sessions.ask(SessionId(9_999), TenantId(1), true, start);
+    assert!(matches!(refused, Err((Turned::Away, _))));
+    let (mut now, mut closed, mut halves) = (start, 0, [0; 2]);
+    while let Some(wake) = sessions.wake() {
+        now = now.max(wake);
+        let actions = sessions.tick(now, |_, _| None);
+        assert!(actions.len() <= AT_ONCE);
+        for action in actions {
+            let Action::Close { again, code: Code::Restart, .. } = action else { panic!("{action:?}") };
+            halves[usize::from(again > 2_000)] += 1;
+            closed += 1;
+        }
+        assert!(closed <= 1 + 1_000 * (now - start) as usize / 1_500, "{closed} at {now}");
     }
-    assert!(halves.iter().all(|half| *half > 60), "{halves:?}");
+    assert_eq!((closed, now - start), (1_000, 1_500));
+    assert!(halves.iter().all(|half| *half > 300), "{halves:?}");
+    sessions.come_back();
+    assert_eq!(sessions.ask(SessionId(9_999), TenantId(1), true, now), Ok(()));
 }
