--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -6,6 +6,7 @@
 mod door;
 pub mod openai;
 pub mod platform;
+pub mod websocket;
 
 use crate::core::Untaken;
 use crate::exchange::{Broken, ClientEnd};
@@ -16,7 +17,7 @@
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use conn::{Busy, Conn, REQUEST_TIME};
-pub use door::{Held, STILL_OPEN, Shared, serve};
+pub use door::{Held, STILL_OPEN, Shared, serve, serve_upgrades};
 use futures_core::Stream;
 use shedrelay::ClassId;
 use std::future::poll_fn;
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -61,6 +61,8 @@
     pub surrender: RefCell<Option<Surrender>>,
     /// The socket, once the server library has let go of it.
     pub socket: RefCell<Option<TcpStream>>,
+    /// It speaks another protocol now.
+    pub upgraded: Cell<bool>,
     /// Its last answer was an error after which nothing is read: out already, or about to be.
     over: Cell<Over>,
     /// Since when the client takes nothing of its answer.
@@ -90,6 +92,7 @@
             free: Notify::new(),
             surrender: RefCell::default(),
             socket: RefCell::default(),
+            upgraded: Cell::new(false),
             over: Cell::default(),
             stuck: Cell::new(None),
             busy: Cell::new(0),
--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -4,16 +4,20 @@
 use super::conn::{Conn, Wire};
 use crate::core::Core;
 use crate::life::{Life, Phase};
+use crate::live::Live;
 use crate::log;
+use actix_codec::Framed;
 use actix_http::body::BoxBody;
 use actix_http::error::DispatchError;
-use actix_http::{ConnectionType, HttpService, Request, Response};
+use actix_http::h1::{ExpectHandler, UpgradeHandler};
+use actix_http::{ConnectionType, HttpServiceBuilder, Request, Response, h1};
 use actix_service::{Service, ServiceFactory, fn_service};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt as _;
@@ -24,6 +28,8 @@
 const LINGER: Duration = Duration::from_millis(1_500);
 /// How often a connection with a request under way is looked at; no longer than its times in `conn.rs`.
 const LOOK: Duration = Duration::from_secs(2);
+/// One that speaks another protocol keeps its times itself.
+const LOOK_UPGRADED: Duration = Duration::from_secs(60);
 /// After SIGTERM clients keep coming for a moment, until the front layer has heard; they are still served. Where the
 /// socket is inherited the next process takes them at once.
 pub const STILL_OPEN: Duration = Duration::from_millis(600);
@@ -55,6 +61,8 @@
     pub life: Life,
     /// The clients' socket is the platform's, and another process may accept from it.
     pub inherited: bool,
+    /// Long-lived connections, where there are any.
+    pub live: Option<Rc<Live>>,
     /// Configurations taken over and turned down since the start.
     pub reloads: Cell<(u64, u64)>,
     /// Connections that are open; each is taken out by its task when it ends.
@@ -68,11 +76,18 @@
 
 impl Shared {
     /// With so many client connections, and so many bytes of requests' bodies, at most.
-    pub fn new(core: Rc<Core>, most: usize, most_bodies: usize, inherited: bool) -> Rc<Self> {
+    pub fn new(
+        core: Rc<Core>,
+        live: Option<Rc<Live>>,
+        most: usize,
+        most_bodies: usize,
+        inherited: bool,
+    ) -> Rc<Self> {
         Rc::new(Shared {
             core,
             life: Life::new(),
             inherited,
+            live,
             reloads: Cell::default(),
             conns: RefCell::default(),
             last: Cell::new(0),
@@ -182,6 +197,25 @@
     }
 }
 
+/// How the server library serves connections. Times are kept by `Conn`, and the end of a connection is seen to here.
+fn builder<S>() -> HttpServiceBuilder<Wire, S, ExpectHandler, UpgradeHandler>
+where
+    S: ServiceFactory<Request, Config = ()>,
+    S::Error: Into<Response<BoxBody>> + 'static,
+    S::InitError: std::fmt::Debug,
+    <S::Service as Service<Request>>::Future: 'static,
+{
+    HttpServiceBuilder::default()
+        .keep_alive(Duration::from_secs(24 * 3_600))
+        .client_request_timeout(Duration::ZERO)
+        .client_disconnect_timeout(Duration::ZERO)
+        // A client that closes its connection has gone away.
+        .h1_allow_half_closed(false)
+        .on_connect_ext(|wire: &Wire, data| {
+            data.insert(wire.conn.clone());
+        })
+}
+
 /// Serves one front until the program ends.
 pub async fn serve<F, A>(listener: TcpListener, shared: Rc<Shared>, front: F)
 where
@@ -199,21 +233,41 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let factory = HttpService::<Wire, _, BoxBody>::build()
-        // Times are kept by `Conn`, and the end of a connection is seen to here.
-        .keep_alive(Duration::from_secs(24 * 3_600))
-        .client_request_timeout(Duration::ZERO)
-        .client_disconnect_timeout(Duration::ZERO)
-        // A client that closes its connection has gone away.
-        .h1_allow_half_closed(false)
-        .on_connect_ext(|wire: &Wire, data| {
-            data.insert(wire.conn.clone());
-        })
-        .h1(service);
-    let Ok(handler) = factory.new_service(()).await else {
-        log!("front failed reason=no-service");
-        return;
+    let Ok(handler) = builder().h1(service).new_service(()).await else {
+        return crate::log!("front failed reason=no-service");
+    };
+    accept(listener, shared, handler).await;
+}
+
+/// Serves a front whose requests ask for another protocol, until the program ends; `plain` answers those that do not.
+pub async fn serve_upgrades<F, A>(
+    listener: TcpListener,
+    shared: Rc<Shared>,
+    plain: fn(&Request) -> Response<BoxBody>,
+    upgrade: F,
+) where
+    F: Fn(Request, Framed<Wire, h1::Codec>) -> A + Clone + 'static,
+    A: Future<Output = ()> + 'static,
+{
+    let service = fn_service(move |request: Request| async move { Ok::<_, Infallible>(plain(&request)) });
+    let upgraded = fn_service(move |(request, wire): (Request, Framed<Wire, h1::Codec>)| {
+        let upgraded = upgrade(request, wire);
+        async move {
+            upgraded.await;
+            Ok::<_, Infallible>(())
+        }
+    });
+    let Ok(handler) = builder().upgrade(upgraded).h1(service).new_service(()).await else {
+        return crate::log!("front failed reason=no-service");
     };
+    accept(listener, shared, handler).await;
+}
+
+async fn accept<H>(listener: TcpListener, shared: Rc<Shared>, handler: H)
+where
+    H: Service<(Wire, Option<SocketAddr>), Response = (), Error = DispatchError>,
+    H::Future: 'static,
+{
     if shared.inherited {
         // Until then the process before this one takes what comes.
         let starting = |phase: &Phase| matches!(phase, Phase::Starting { .. });
@@ -271,7 +325,8 @@
         let free = free.map(|free| if conn.requests.get() == 0 { free.max(born + LAST_USE) } else { free });
         conn.away.set(away.is_some());
         conn.leave.set(free.is_some_and(|free| free <= Instant::now()));
-        let look = conn.due().map_or_else(|| Instant::now() + LOOK, by);
+        let often = if conn.upgraded.get() { LOOK_UPGRADED } else { LOOK };
+        let look = conn.due().map_or_else(|| Instant::now() + often, by);
         let look = free.filter(|_| !conn.leave.get()).map_or(look, |free| look.min(free));
         tokio::select! {
             biased;
@@ -290,7 +345,7 @@
                 }
             }
             () = actix_rt::time::sleep_until(look.into()) => {
-                if conn.stuck() {
+                if conn.stuck() && !conn.upgraded.get() {
                     break "slow-client";
                 }
                 if conn.due().is_some_and(|due| by(due) <= Instant::now()) {
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -5,9 +5,10 @@
 mod render;
 
 use super::{Answer, Bad, Busy, Shared, body, health, note, untaken};
-use crate::config::{self, openai::OpenAi};
+use crate::config::openai::OpenAi;
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::log;
+use crate::names;
 use actix_http::body::BoxBody;
 use actix_http::header::{AUTHORIZATION, CACHE_CONTROL, CONTENT_TYPE, RETRY_AFTER};
 use actix_http::{HttpMessage as _, Method, Request, Response, ResponseBuilder, StatusCode};
@@ -41,7 +42,7 @@
 
     fn id(&self) -> String {
         self.last.set(self.last.get() + 1);
-        format!("{:016x}", config::hash(&format!("{:x}-{:x}", self.seed, self.last.get())))
+        format!("{:016x}", names::hash(&format!("{:x}-{:x}", self.seed, self.last.get())))
     }
 }
 
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -251,7 +251,7 @@
 }
 
 fn hash(text: &[u8]) -> Key {
-    Key(crate::config::hash_bytes(text))
+    Key(crate::names::hash_bytes(text))
 }
 
 /// Characters of a message's content; none if it is neither text, parts nor null.
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -4,9 +4,9 @@
     Answer, Bad, Body, Conn, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
     untaken,
 };
-use crate::config;
 use crate::exchange::{Call, Exchange, Opening};
 use crate::log;
+use crate::names;
 use actix_http::body::BoxBody;
 use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
@@ -183,6 +183,6 @@
     match u64::from_str_radix(text, 16) {
         Ok(key) if text.len() == 16 => Some(Key(key)),
         _ if text.is_empty() || text.len() > LONGEST_ID => None,
-        _ => Some(Key(config::hash(text))),
+        _ => Some(Key(names::hash(text))),
     }
 }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -1,17 +1,23 @@
 //! What the platform tells the router: `$PROXY_CONFIG`, and the variables that stand beside it.
 
+pub mod arguments;
 pub mod etcd;
 pub mod ledger;
 pub mod openai;
+pub mod websocket;
 
 use crate::list;
+use crate::names::hash;
+use arguments::Arguments;
 use serde::Deserialize;
 use shedrelay::Settings;
 use shedrelay_settings::{Links, Names, Wire};
 use std::net::SocketAddr;
 
 /// Descriptors kept for the listeners, the list's watch, operators' callers, standard streams and the runtime.
-const SPARE_SOCKETS: usize = 32 + crate::operators::MOST_CALLERS;
+const SPARE_SOCKETS: usize = 32 + MOST_CALLERS;
+/// Operators' callers at once.
+pub const MOST_CALLERS: usize = 16;
 /// Part of the others that clients may hold; the rest is for servers.
 const CLIENT_PART: f64 = 0.55;
 /// With fewer descriptors than this a router cannot work.
@@ -38,8 +44,8 @@
         error: std::io::Error,
     },
     /// An argument that is not known.
-    #[error("usage: fawnstream [--openai FILE] [--etcd FILE] [--ledger FILE]")]
-    Usage,
+    #[error("usage: fawnstream [--openai FILE] [--etcd FILE] [--ledger FILE] [--websocket FILE]: {0}")]
+    Usage(String),
     /// A file is not what it should be.
     #[error("{path}: {problem}")]
     Content {
@@ -95,6 +101,8 @@
     pub server_sockets: usize,
     /// Bytes of requests' bodies that may be held at once.
     pub body_bytes: usize,
+    /// Bytes that long-lived connections may hold at once, where there are any.
+    pub live_bytes: usize,
     /// The list of servers as last held; may be old.
     pub known: Option<list::Wire>,
     /// The module's settings.
@@ -107,6 +115,8 @@
     pub openai: Option<openai::OpenAi>,
     /// The list's source, where it is not discovery.
     pub etcd: Option<etcd::Etcd>,
+    /// Long-lived connections, where they are wanted.
+    pub websocket: Option<websocket::WebSocket>,
     /// The usage ledger, where it is wanted.
     pub ledger: Option<ledger::Ledger>,
 }
@@ -153,16 +163,16 @@
         let links = file.settings.links();
         let (settings, names) = file.settings.translate().map_err(|e| wrong(format!("settings: {e}")))?;
         settings.check().map_err(|error| wrong(error.to_string()))?;
-        let (mut openai, mut etcd, mut ledger) = (None, None, None);
-        let mut arguments = std::env::args().skip(1);
-        while let Some(argument) = arguments.next() {
-            let path = arguments.next().ok_or(ConfigError::Usage)?;
-            match argument.as_str() {
-                "--openai" => openai = Some(openai::OpenAi::load(&path, &names)?),
-                "--etcd" => etcd = Some(etcd::Etcd::load(&path)?),
-                "--ledger" => ledger = Some(ledger::Ledger::load(&path)?),
-                _ => return Err(ConfigError::Usage),
-            }
+        let mut server_sockets = sockets - SPARE_SOCKETS - client_sockets;
+        let mut body_bytes = (memory_mb * BODY_PART) as usize;
+        let told_of = Arguments::read()?;
+        let load = |path: &String| websocket::WebSocket::load(path, &names, &settings, server_sockets);
+        let websocket = told_of.websocket.as_ref().map(load).transpose()?;
+        let mut live_bytes = 0;
+        if websocket.is_some() {
+            server_sockets -= websocket::places(server_sockets).0;
+            live_bytes = body_bytes / 2;
+            body_bytes -= live_bytes;
         }
         Ok(Config {
             name: told("PROXY_NAME", file.name).unwrap_or_else(|_| "router".to_owned()),
@@ -174,15 +184,17 @@
             },
             seed: seed(&file.seed),
             client_sockets,
-            server_sockets: sockets - SPARE_SOCKETS - client_sockets,
-            body_bytes: (memory_mb * BODY_PART) as usize,
+            server_sockets,
+            body_bytes,
+            live_bytes,
             known: file.known,
+            openai: told_of.openai.map(|path| openai::OpenAi::load(&path, &names)).transpose()?,
+            etcd: told_of.etcd.map(|path| etcd::Etcd::load(&path)).transpose()?,
+            ledger: told_of.ledger.map(|path| ledger::Ledger::load(&path)).transpose()?,
+            websocket,
             settings,
             names,
             links,
-            openai,
-            etcd,
-            ledger,
         })
     }
 }
@@ -203,13 +215,3 @@
         _ => 0,
     }
 }
-
-/// A number for a name, the same at every router and after every restart (FNV-1a).
-pub fn hash(text: &str) -> u64 {
-    hash_bytes(text.as_bytes())
-}
-
-/// The same for bytes.
-pub fn hash_bytes(text: &[u8]) -> u64 {
-    text.iter().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(*b)).wrapping_mul(0x100_0000_01b3))
-}
--- a/router/src/config/openai.rs
+++ b/router/src/config/openai.rs
@@ -27,13 +27,37 @@
     max_tokens: u32,
 }
 
+/// A key as files name it.
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
-struct FileKey {
+pub struct FileKey {
     env: String,
     tenant: String,
 }
 
+impl FileKey {
+    /// The key, from the environment, and whose it is.
+    pub fn read(
+        self,
+        names: &Names,
+        wrong: &impl Fn(String) -> ConfigError,
+    ) -> Result<(String, TenantId), ConfigError> {
+        let told = std::env::var(&self.env).ok().filter(|told| !told.is_empty());
+        let key = told.ok_or_else(|| wrong(format!("{} is not set", self.env)))?;
+        Ok((key, tenant(names, &self.tenant, wrong)?))
+    }
+}
+
+/// A customer by its name.
+fn tenant(
+    names: &Names,
+    name: &str,
+    wrong: &impl Fn(String) -> ConfigError,
+) -> Result<TenantId, ConfigError> {
+    let place = names.tenants.iter().position(|known| known == name);
+    place.map(TenantId).ok_or_else(|| wrong(format!("tenant `{name}` is not in the settings")))
+}
+
 /// What a model's name stands for.
 pub struct Model {
     /// The name that clients use.
@@ -63,10 +87,6 @@
     pub fn load(path: &str, names: &Names) -> Result<Self, ConfigError> {
         let wrong = |problem: String| ConfigError::Content { path: path.to_owned(), problem };
         let file: File = super::toml_file(path)?;
-        let tenant = |name: &str| {
-            let place = names.tenants.iter().position(|known| known == name);
-            place.map(TenantId).ok_or_else(|| wrong(format!("tenant `{name}` is not in the settings")))
-        };
         let model = |model: FileModel| {
             let place = names.classes.iter().position(|known| *known == model.class);
             let class =
@@ -74,7 +94,7 @@
             if !(model.deadline_s > 0.0 && model.deadline_s <= 3_600.0) || model.max_tokens == 0 {
                 return Err(wrong(format!("model `{}`: deadline_s or max_tokens is wrong", model.name)));
             }
-            let tenant = model.tenant.as_deref().map(tenant).transpose()?;
+            let tenant = model.tenant.as_deref().map(|name| tenant(names, name, &wrong)).transpose()?;
             Ok(Model {
                 name: model.name,
                 class: ClassId(class),
@@ -83,15 +103,11 @@
                 max_tokens: model.max_tokens,
             })
         };
-        let key = |key: FileKey| {
-            let told = std::env::var(&key.env).ok().filter(|told| !told.is_empty());
-            Ok((told.ok_or_else(|| wrong(format!("{} is not set", key.env)))?, tenant(&key.tenant)?))
-        };
         let models = file.model.into_iter().map(model).collect::<Result<Vec<_>, _>>()?;
         if models.is_empty() {
             return Err(wrong("no model".to_owned()));
         }
-        let keys = file.key.into_iter().map(key).collect::<Result<_, ConfigError>>()?;
+        let keys = file.key.into_iter().map(|key| key.read(names, &wrong)).collect::<Result<_, _>>()?;
         Ok(OpenAi { listen: file.listen, models, keys })
     }
 }
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -4,8 +4,9 @@
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::handover::Bill;
 use crate::list::{Entry, Update};
+use crate::log;
+use crate::names;
 use crate::usage::{self, Usage};
-use crate::{config, log};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
 use shedrelay::*;
@@ -154,6 +155,21 @@
     left: bool,
 }
 
+/// What the list says of a server, for who keeps connections there.
+pub struct News {
+    /// The server.
+    pub server: ServerId,
+    /// Its kind; nothing is told of one that the list has dropped.
+    pub kind: Option<KindId>,
+    /// Whether it takes work.
+    pub state: ServerState,
+    /// Unix time of its last start; none for long ago.
+    pub up_since: Option<Time>,
+}
+
+/// Hears of the list.
+type OnNews = Rc<dyn Fn(&[News])>;
+
 /// Goes on with a client's connection by itself.
 type Bare = Rc<dyn Fn(ClientEnd, TcpStream)>;
 
@@ -168,6 +184,8 @@
     servers: RefCell<Option<Rc<dyn Servers>>>,
     /// Who goes on with a client's connection that was given up.
     bare: RefCell<Option<Bare>>,
+    /// Who keeps long-lived connections.
+    on_news: RefCell<Option<OnNews>>,
     /// One for each class: a class that is not known adds none.
     tallies: RefCell<Vec<Tally>>,
     dispatches: Rc<Cell<u64>>,
@@ -200,6 +218,7 @@
             list: RefCell::default(),
             servers: RefCell::default(),
             bare: RefCell::default(),
+            on_news: RefCell::default(),
             tallies,
             dispatches: Rc::default(),
             usage,
@@ -228,8 +247,28 @@
         }
     }
 
+    /// Connects who keeps long-lived connections: it hears of the list after the module.
+    pub fn connect_live(&self, hear: impl Fn(&[News]) + 'static) {
+        *self.on_news.borrow_mut() = Some(Rc::new(hear));
+    }
+
+    /// The module's choice of a server for one more long-lived connection.
+    pub fn place(&self, among: &[ServerId]) -> Option<ServerId> {
+        self.router.borrow_mut().place(self.now(), among)
+    }
+
+    /// What long-lived connections weigh at a server has changed by so many tokens.
+    pub fn hold(&self, at: ServerId, tokens: f64) {
+        self.router.borrow_mut().hold(at, tokens);
+    }
+
+    /// A listed server.
+    pub fn server(&self, id: ServerId) -> Option<Rc<Server>> {
+        self.list.borrow().get(&id).cloned()
+    }
+
     /// A customer's name; empty where there is none.
-    fn tenant_name(&self, tenant: Option<TenantId>) -> &str {
+    pub fn tenant_name(&self, tenant: Option<TenantId>) -> &str {
         tenant.and_then(|tenant| self.names.tenants.get(tenant.0)).map_or("", |name| name)
     }
 
@@ -255,7 +294,7 @@
 
     /// The module's clock: Unix time at the start, and monotonic from there, so that it can be compared with
     /// the list's start times and never goes back.
-    fn now(&self) -> Time {
+    pub fn now(&self) -> Time {
         Time(self.unix + self.born.elapsed().as_nanos() as u64)
     }
 
@@ -366,10 +405,30 @@
         if let Some(servers) = self.servers.borrow().as_ref() {
             gone.iter().for_each(|(_, server)| servers.retire(server));
         }
+        let on_news = self.on_news.borrow().clone();
+        let news = on_news.is_some().then(|| {
+            let dropped = gone.iter().filter(|(id, _)| !members.iter().any(|member| member.server == *id));
+            let dropped = dropped.map(|(id, _)| News {
+                server: *id,
+                kind: None,
+                state: ServerState::Left,
+                up_since: None,
+            });
+            let told = members.iter().map(|member| News {
+                server: member.server,
+                kind: Some(member.kind),
+                state: member.state,
+                up_since: member.up_since,
+            });
+            dropped.chain(told).collect::<Vec<News>>()
+        });
         self.handle(Event::Members(match update.complete {
             true => Members::Full(members),
             false => Members::Changes(members),
         }));
+        if let (Some(hear), Some(news)) = (on_news, news) {
+            hear(&news);
+        }
     }
 
     fn member(&self, entry: &Entry) -> Option<Member> {
@@ -829,5 +888,5 @@
 }
 
 fn server_id(label: &str) -> ServerId {
-    ServerId(config::hash(label))
+    ServerId(names::hash(label))
 }
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -57,7 +57,7 @@
 
 /// A wait of half to all of this, as the seed says.
 fn spread(wait: Duration, seed: u64, tries: u64) -> Duration {
-    let chance = crate::config::hash(&format!("{seed:x} {tries}")) >> 40;
+    let chance = crate::names::hash(&format!("{seed:x} {tries}")) >> 40;
     wait.mul_f64(0.5 + 0.5 * chance as f64 / (1u64 << 24) as f64)
 }
 
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,15 +7,18 @@
 mod core;
 mod exchange;
 mod handover;
+mod leg;
 mod life;
 mod list;
+mod live;
 mod log;
+mod names;
 mod operators;
 mod servers;
 mod sse;
 mod usage;
 
-use clients::{STILL_OPEN, Shared, openai, platform};
+use clients::{STILL_OPEN, Shared, openai, platform, websocket};
 use config::Config;
 use life::Event;
 use std::net::SocketAddr;
@@ -66,6 +69,9 @@
     };
     shared.reloads.set((done + 1, failed));
     let mut moved = swap(discovery, config.discovery);
+    if let (Some(live), Some(told)) = (&shared.live, config.websocket) {
+        live.reload(told);
+    }
     if let (Some(etcd), Some(told)) = (etcd, config.etcd) {
         moved |= swap(etcd, told);
     }
@@ -81,6 +87,18 @@
     })
 }
 
+/// Listens on an address of its own. Where two processes run at once during an upgrade (`beside`) both listen on it,
+/// and the old one stops first; elsewhere a second one is a mistake that the start shows.
+fn listen_beside(address: SocketAddr, beside: bool) -> std::io::Result<TcpListener> {
+    let socket = socket2::Socket::new(socket2::Domain::for_address(address), socket2::Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_reuse_port(beside)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1_024)?;
+    TcpListener::from_std(socket.into())
+}
+
 async fn run(inherited: Option<std::net::TcpListener>) -> Result<(), Failure> {
     let io = |what: String| move |error| Failure::Io { what, error };
     // Taken first: a signal that nobody takes ends the program.
@@ -100,6 +118,10 @@
     let handover = handover::Handover::new(inherits);
     let fleet = servers::Fleet::new(core.clone(), config.links, config.server_sockets, handover.clone());
     core.connect(fleet.clone());
+    // Before the first list: it hears of the servers by its news.
+    let websocket = config.websocket.as_ref().map(|told| told.listen);
+    let live =
+        config.websocket.map(|told| live::Live::new(core.clone(), told, config.seed, config.live_bytes));
     let from = config.known.as_ref().map_or(0, |known| known.revision);
     if let Some(known) = config.known {
         core.listed(known.update());
@@ -114,7 +136,7 @@
             drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, config.seed, hear)))
         }
     }
-    let shared = Shared::new(core.clone(), config.client_sockets, config.body_bytes, inherits);
+    let shared = Shared::new(core.clone(), live.clone(), config.client_sockets, config.body_bytes, inherits);
     let clients = shared.clone();
     let bare = move |end, socket| {
         actix_rt::spawn(clients::carried::write(clients.clone(), end, socket));
@@ -150,6 +172,18 @@
         actix_rt::spawn(clients::serve(listener, shared.clone(), front));
         log!("openai listen={listen}");
     }
+    if let (Some(address), Some(live)) = (websocket, live) {
+        let at = |what: &str| io(format!("{what} on {address}"));
+        let listener = listen_beside(address, inherits).map_err(at("listening"))?;
+        let listen = listener.local_addr().map_err(at("listening"))?;
+        let (follows, connect) = (shared.clone(), Duration::from_nanos(config.links.connect.0));
+        let following = live.clone();
+        actix_rt::spawn(async move { following.run(&follows.life).await });
+        let of = shared.clone();
+        let front = move |request, wire| websocket::serve(live.clone(), of.clone(), connect, request, wire);
+        actix_rt::spawn(clients::serve_upgrades(listener, shared.clone(), websocket::plain, front));
+        log!("websocket listen={listen}");
+    }
     log!("started name={} listen={listen} discovery={} inherited={inherits}", config.name, config.discovery);
     let ready = shared.clone();
     actix_rt::spawn(async move {
--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -5,6 +5,8 @@
 mod figures;
 
 use crate::clients::Shared;
+// Callers at once; their descriptors are kept back. One more ends the one that has said nothing longest.
+use crate::config::MOST_CALLERS;
 use crate::life::Event;
 use crate::log;
 use std::collections::VecDeque;
@@ -16,8 +18,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
-/// Callers at once; config.rs keeps their descriptors back. One more ends the one that has said nothing longest.
-pub const MOST_CALLERS: usize = 16;
 /// A head comes whole in this time, and an answer is taken in it.
 const HEAD_TIME: Duration = Duration::from_secs(2);
 const ANSWER_TIME: Duration = Duration::from_secs(2);
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -64,6 +64,29 @@
         page.one("ledger_lost", "counter", "Requests that the ledger lacks.", count(&state.lost));
         page.one("ledger_stopped", "gauge", "1 if the ledger's disk failed.", stopped);
     }
+    if let Some(live) = &shared.live {
+        let (now, figures) = live.figures();
+        for (name, help, value) in [
+            ("websocket_open", "Long-lived connections that have their server.", now.open),
+            ("websocket_asking", "New ones that wait for a server's turn.", now.asking),
+            ("websocket_waiting", "Long-lived connections that wait for a move.", now.waiting),
+            ("websocket_trying", "Attempts under way to open or move one.", now.trying),
+        ] {
+            page.one(name, "gauge", help, value);
+        }
+        page.one("websocket_opened", "counter", "Long-lived connections let in.", figures.opened);
+        page.one("websocket_moved", "counter", "Moves to another server.", figures.moved);
+        page.one("websocket_put_off", "counter", "Moves that came to nothing.", figures.put_off);
+        for (name, help, counts) in [
+            ("websocket_refused", "Upgrades turned away, by reason.", &figures.turned),
+            ("websocket_ended", "Long-lived connections that ended, by reason.", &figures.ended),
+        ] {
+            page.about(name, "counter", help);
+            for (reason, count) in counts {
+                let _ = writeln!(page.0, "{PREFIX}{name}{{reason=\"{reason}\"}} {count}");
+            }
+        }
+    }
     page.0
 }
 
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -3,6 +3,7 @@
 
 mod frames;
 mod link;
+pub mod upgrade;
 
 use crate::core::{Core, Ended, Order, Server};
 use crate::exchange::{Call, ClientEnd, Exchange, Left};
@@ -643,7 +644,7 @@
 /// others, since every server passes a release on. Only an answer counts: a dead machine takes bytes too.
 async fn release(core: &Core, pool: &Rc<Pool>, request: RequestId, label: &str, at: Rc<Server>) {
     let mut others = core.others();
-    others.sort_by_key(|server| crate::config::hash(&server.label) ^ u64::from(at.address.port()));
+    others.sort_by_key(|server| crate::names::hash(&server.label) ^ u64::from(at.address.port()));
     let others = others.iter().filter(|other| !Rc::ptr_eq(&at, other));
     for server in std::iter::once(&at).chain(others).take(RELEASE_TRIES) {
         if !core.owes(request, &at) {
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -80,8 +80,8 @@
 /// What joins tries of one request: everything that a client sends again unchanged.
 fn ask(call: &Call) -> u64 {
     let session = call.session.map_or(0, |key| key.0);
-    crate::config::hash_bytes(&call.body)
-        ^ crate::config::hash(&format!("{session:x} {:?}", call.class)).rotate_left(17)
+    crate::names::hash_bytes(&call.body)
+        ^ crate::names::hash(&format!("{session:x} {:?}", call.class)).rotate_left(17)
 }
 
 impl Usage {
--- a/router/src/usage/export.rs
+++ b/router/src/usage/export.rs
@@ -85,7 +85,7 @@
         } else {
             // Spread, so that routers that lost the sink together do not come back together.
             self.tries += 1;
-            let chance = crate::config::hash(&format!("{} {}", self.router, self.tries)) >> 40;
+            let chance = crate::names::hash(&format!("{} {}", self.router, self.tries)) >> 40;
             let wait = self.wait.mul_f64(0.5 + 0.5 * chance as f64 / (1u64 << 24) as f64);
             self.wait = (self.wait * 2).min(LONGEST_WAIT);
             tokio::time::sleep(wait).await;
--- /dev/null
+++ b/router/tests/websocket.rs
@@ -0,0 +1,672 @@
+//! Long-lived WebSocket connections through the started program: stand-in servers and clients by another library
+//! (tungstenite), a stand-in discovery that tells of drains, and raw bytes for what no library would send.
+
+use futures_util::{SinkExt as _, StreamExt as _};
+use rstest::rstest;
+use std::collections::HashMap;
+use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{broadcast, watch};
+use tokio_tungstenite::tungstenite::handshake::server::{Request, Response};
+use tokio_tungstenite::tungstenite::protocol::frame::{Frame, coding::Data, coding::OpCode};
+use tokio_tungstenite::tungstenite::{self, Message};
+use tokio_tungstenite::{MaybeTlsStream, WebSocketStream, accept_hdr_async, connect_async};
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+#[derive(Clone, Copy, PartialEq)]
+enum Mode {
+    Run,
+    /// Its connections break.
+    Kill,
+    /// It says and reads nothing any more, and closes nothing.
+    Freeze,
+    /// It closes its connections in order: it goes.
+    Leave,
+}
+
+/// A server of test logs: on each connection messages with ids that go on behind `Last-Event-ID`.
+struct Engine {
+    id: String,
+    address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
+    open: Arc<AtomicUsize>,
+    mode: watch::Sender<Mode>,
+}
+
+impl Engine {
+    async fn start(id: &str) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (arrivals, open) = (Arc::<Mutex<Vec<Instant>>>::default(), Arc::<AtomicUsize>::default());
+        let (mode, seen) = watch::channel(Mode::Run);
+        let (came, now) = (arrivals.clone(), open.clone());
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                came.lock().unwrap().push(Instant::now());
+                let (now, mut seen) = (now.clone(), seen.clone());
+                tokio::spawn(async move {
+                    now.fetch_add(1, Ordering::SeqCst);
+                    let mut told = seen.clone();
+                    tokio::select! {
+                        () = follow(stream, &mut told) => {}
+                        () = async { drop(seen.wait_for(|mode| *mode == Mode::Kill).await) } => {}
+                    }
+                    now.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Engine { id: id.to_owned(), address, arrivals, open, mode }
+    }
+
+    fn entry(&self, phase: &str, up: u64) -> String {
+        format!(
+            "{{\"id\":\"{}\",\"host_port\":\"{}\",\"flavor\":\"writes\",\"phase\":\"{phase}\",\"up_since_ms\":{up}}}",
+            self.id, self.address
+        )
+    }
+
+    fn open(&self) -> usize {
+        self.open.load(Ordering::SeqCst)
+    }
+}
+
+/// One connection of a server.
+async fn follow(stream: TcpStream, mode: &mut watch::Receiver<Mode>) {
+    let (mut query, mut from) = (String::new(), 0);
+    #[allow(clippy::result_large_err)]
+    let hear = |request: &Request, mut response: Response| {
+        query = request.uri().query().unwrap_or_default().to_owned();
+        let field = |name: &str| request.headers().get(name).and_then(|value| value.to_str().ok());
+        from = field("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
+        if let Some(first) = field("sec-websocket-protocol").and_then(|names| names.split(',').next()) {
+            response.headers_mut().insert("sec-websocket-protocol", first.parse().unwrap());
+        }
+        Ok(response)
+    };
+    let Ok(mut peer) = accept_hdr_async(stream, hear).await else { return };
+    let part = |text: &str, code, last| {
+        Message::Frame(Frame::message(text.to_owned().into_bytes(), OpCode::Data(code), last))
+    };
+    if query.contains("part") && from == 0 {
+        let _ = peer.send(part("{\"id\":1,\"li", Data::Text, false)).await;
+    }
+    let (mut next, mut heard) = (from + 1, 0);
+    let quiet = query.contains("echo") || query.contains("part") || query.contains("quiet");
+    let every = if query.contains("flood") { Duration::ZERO } else { Duration::from_millis(40) };
+    let padding = if query.contains("flood") { "x".repeat(16 * 1024) } else { String::new() };
+    let now = mode.clone();
+    loop {
+        tokio::select! {
+            biased;
+            () = async { drop(mode.wait_for(|mode| matches!(mode, Mode::Freeze | Mode::Leave)).await) } => {
+                let frozen = *now.borrow() == Mode::Freeze;
+                if frozen {
+                    return std::future::pending().await;
+                }
+                let code = tungstenite::protocol::frame::coding::CloseCode::Restart;
+                let _ = peer.close(Some(tungstenite::protocol::CloseFrame { code, reason: "".into() })).await;
+                return;
+            }
+            message = peer.next() => match message {
+                Some(Ok(Message::Close(_))) | Some(Err(_)) | None => return drop(peer.flush().await),
+                Some(Ok(message @ (Message::Text(_) | Message::Binary(_)))) if query.contains("echo") => {
+                    let _ = peer.send(message).await;
+                }
+                Some(Ok(Message::Text(_))) if !query.contains("noack") => {
+                    heard += 1;
+                    let _ = peer.send(Message::text(format!("{{\"ack\":{heard}}}"))).await;
+                }
+                Some(Ok(_)) => {}
+            },
+            () = tokio::time::sleep(every), if !quiet => {
+                let text = format!("{{\"id\":{next},\"line\":\"{padding}\"}}");
+                if peer.send(Message::text(text)).await.is_err() {
+                    return;
+                }
+                next += 1;
+            }
+        }
+    }
+}
+
+/// Discovery: all that was told so far, then what comes.
+struct Discovery {
+    address: SocketAddr,
+    news: broadcast::Sender<String>,
+    revision: u64,
+}
+
+impl Discovery {
+    async fn start() -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (news, _) = broadcast::channel::<String>(64);
+        let all = news.clone();
+        tokio::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut news = all.subscribe();
+                tokio::spawn(async move {
+                    let _ = stream.read(&mut [0; 1024]).await;
+                    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n";
+                    let _ = stream.write_all(head.as_bytes()).await;
+                    loop {
+                        let line = match tokio::time::timeout(Duration::from_secs(2), news.recv()).await {
+                            Ok(Ok(line)) => line,
+                            Ok(Err(_)) => return,
+                            Err(_) => "\n".to_owned(),
+                        };
+                        let chunk = format!("{:X}\r\n{line}\r\n", line.len());
+                        if stream.write_all(chunk.as_bytes()).await.is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        Discovery { address, news, revision: 1 }
+    }
+
+    fn tell(&mut self, entries: &[String]) {
+        self.revision += 1;
+        let (revision, members) = (self.revision, entries.join(","));
+        let line = format!("{{\"revision\":{revision},\"complete\":false,\"members\":[{members}]}}\n");
+        self.news.send(line).unwrap();
+    }
+}
+
+struct Router {
+    child: Child,
+    clients: SocketAddr,
+    operators: SocketAddr,
+    log: Arc<Mutex<Vec<String>>>,
+    folder: tempfile::TempDir,
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            println!("{}", self.log.lock().unwrap().join("\n"));
+        }
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// The file under `deploy/` with other values.
+fn settings(change: &[(&str, &str)]) -> String {
+    let text = include_str!("../../deploy/websocket.toml")
+        .replace("127.0.0.1:8082", "127.0.0.1:0")
+        .replace("\"decode\"", "\"writes\"");
+    change.iter().fold(text, |text, (old, new)| {
+        assert!(text.contains(old), "{old}");
+        text.replace(old, new)
+    })
+}
+
+fn prepare(engines: &[&Engine], discovery: SocketAddr, told: &str) -> (Command, tempfile::TempDir) {
+    let folder = tempfile::tempdir().unwrap();
+    let members: Vec<String> = engines.iter().map(|engine| engine.entry("active", 0)).collect();
+    let config = include_str!("config.json")
+        .replace("{d}", &discovery.to_string())
+        .replace("\"sockets\": 256", "\"sockets\": 4096")
+        .replace("{r1}", "127.0.0.1:9");
+    let (before, rest) = config.split_once("{\"id\": \"w1\"").unwrap();
+    let (_, after) = rest.split_once("]},").unwrap();
+    let config = format!("{before}{}]}},{after}", members.join(","));
+    std::fs::write(folder.path().join("config.json"), config).unwrap();
+    std::fs::write(folder.path().join("websocket.toml"), told).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
+    command.args(["--websocket", folder.path().join("websocket.toml").to_str().unwrap()]);
+    command.env_clear().env("PROXY_CONFIG", folder.path().join("config.json"));
+    command.env("KEY", "secret").stdin(Stdio::null()).stderr(Stdio::piped());
+    (command, folder)
+}
+
+fn start(engines: &[&Engine], discovery: SocketAddr, told: &str) -> Router {
+    let (mut command, folder) = prepare(engines, discovery, told);
+    let mut child = command.spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut address = |what: &str| {
+        let line = lines.find(|line| line.contains(what)).unwrap_or_else(|| panic!("no {what}"));
+        line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
+    };
+    let (operators, clients) = (address("operators listen="), address("websocket listen="));
+    let log = Arc::<Mutex<Vec<String>>>::default();
+    let keep = log.clone();
+    std::thread::spawn(move || lines.for_each(|line| keep.lock().unwrap().push(line)));
+    Router { child, clients, operators, log, folder }
+}
+
+impl Router {
+    fn call(&self, call: &str) -> String {
+        let mut stream = std::net::TcpStream::connect(self.operators).unwrap();
+        stream.write_all(format!("{call} HTTP/1.1\r\nHost: x\r\n\r\n").as_bytes()).unwrap();
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).unwrap();
+        answer
+    }
+
+    fn figure(&self, name: &str) -> usize {
+        let answer = self.call("GET /status/metrics");
+        let line = answer.lines().find_map(|line| line.strip_prefix(&format!("router_{name} ")));
+        line.map_or(0, |value| value.parse().unwrap())
+    }
+
+    /// Waits until this holds.
+    async fn until(&self, what: &str, holds: impl Fn(&Router) -> bool) {
+        let until = Instant::now() + PATIENCE;
+        while !holds(self) {
+            assert!(Instant::now() < until, "{what}:\n{}", self.call("GET /status/metrics"));
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn connect(&self, query: &str) -> Result<Socket, tungstenite::Error> {
+        connect_async(format!("ws://{}/v1/follow?{query}", self.clients)).await.map(|(socket, _)| socket)
+    }
+
+    /// So many clients, each followed to its end by a task.
+    async fn clients(&self, count: usize, query: &str) -> Vec<tokio::task::JoinHandle<Seen>> {
+        let mut all = Vec::new();
+        for _ in 0..count {
+            // Those that find no turn in time come again, as they are told.
+            let socket = loop {
+                match self.connect(query).await {
+                    Ok(socket) => break socket,
+                    Err(tungstenite::Error::Http(answer)) if answer.status() == 503 => {
+                        tokio::time::sleep(Duration::from_millis(20)).await;
+                    }
+                    Err(error) => panic!("{error}"),
+                }
+            };
+            all.push(tokio::spawn(watch(socket)));
+        }
+        all
+    }
+}
+
+type Socket = WebSocketStream<MaybeTlsStream<TcpStream>>;
+
+/// What a client saw.
+#[derive(Debug, Default)]
+struct Seen {
+    /// The last id; they came without a gap or a repeat.
+    last: u64,
+    gaps: Vec<(u64, u64)>,
+    close: Option<(u16, String)>,
+}
+
+async fn watch(mut socket: Socket) -> Seen {
+    let mut seen = Seen::default();
+    while let Some(message) = socket.next().await {
+        match message {
+            Ok(Message::Text(text)) => {
+                let told: serde_json::Value = serde_json::from_str(text.as_str()).unwrap();
+                let Some(id) = told["id"].as_u64() else { continue };
+                if id != seen.last + 1 {
+                    seen.gaps.push((seen.last, id));
+                }
+                seen.last = id;
+            }
+            Ok(Message::Close(Some(close))) => {
+                seen.close = Some((close.code.into(), close.reason.to_string()));
+            }
+            Ok(_) => {}
+            Err(_) => break,
+        }
+    }
+    seen
+}
+
+fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64
+}
+
+/// Over any window no more arrivals than a cold server takes then, and the one that the bucket holds. Arrivals are
+/// seen a little later or earlier than they were decided: `slack`.
+fn check_pace(arrivals: &[Instant], listed: Instant, new_per_s: f64, slack: Duration) {
+    for (first, from) in arrivals.iter().enumerate() {
+        for (last, to) in arrivals.iter().enumerate().skip(first) {
+            let warm = (0.5 + 0.5 * to.duration_since(listed).as_secs_f64()).min(1.0);
+            let window = (to.duration_since(*from) + slack).as_secs_f64();
+            let (came, most) = ((last - first + 1) as f64, new_per_s * warm * window + 2.0);
+            assert!(came <= most, "{came} in {window} s, {most} may come");
+        }
+    }
+}
+
+const CLIENTS: usize = 400;
+
+/// A release drains all servers at once and brings cold ones: every client goes on without a gap or hears a final
+/// message, nothing new comes to a drained server, and no successor gets more than it takes.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_release_moves_or_closes_every_connection() {
+    let old = [Engine::start("w1").await, Engine::start("w2").await, Engine::start("w3").await];
+    let new = [Engine::start("w8").await, Engine::start("w9").await];
+    let mut discovery = Discovery::start().await;
+    let told = settings(&[("= 80", "= 100"), ("most_of_tenant = 200", "most_of_tenant = 2000")]);
+    let router = start(&old.each_ref(), discovery.address, &told);
+    let clients = router.clients(CLIENTS, "x").await;
+    router.until("all open", |router| router.figure("websocket_open") == CLIENTS).await;
+    assert!(old.iter().all(|engine| engine.open() > CLIENTS / 6), "spread over the servers");
+    let listed = Instant::now();
+    let mut news: Vec<String> = old.iter().map(|engine| engine.entry("leaving", 0)).collect();
+    news.extend(new.iter().map(|engine| engine.entry("active", unix_ms())));
+    discovery.tell(&news);
+    router.until("old servers empty", |_| old.iter().all(|engine| engine.open() == 0)).await;
+    let took = listed.elapsed();
+    let moved = router.figure("websocket_moved");
+    for engine in &old {
+        let late = |at: &&Instant| **at > listed + Duration::from_millis(500);
+        assert_eq!(engine.arrivals.lock().unwrap().iter().filter(late).count(), 0);
+    }
+    for engine in &new {
+        check_pace(&engine.arrivals.lock().unwrap(), listed, 100.0, Duration::from_millis(60));
+    }
+    // Those that moved go on.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    assert_eq!(new.iter().map(Engine::open).sum::<usize>(), moved);
+    assert!(router.call("PUT /standby").contains("200 OK"));
+    let (mut closed, mut sent_away) = (0, 0);
+    for client in clients {
+        let seen = client.await.unwrap();
+        assert!(seen.gaps.is_empty() && seen.last > 0, "{seen:?}");
+        let (code, reason) = seen.close.expect("a final message");
+        assert!(code == 1012 && reason.starts_with("come again in "), "{code} {reason}");
+        (closed, sent_away) = if seen.last * 40 > took.as_millis() as u64 {
+            (closed, sent_away + 1)
+        } else {
+            (closed + 1, sent_away)
+        };
+    }
+    println!(
+        "clients={CLIENTS} moved={moved} took_ms={} closed={closed} later={sent_away}",
+        took.as_millis()
+    );
+    assert!(moved > CLIENTS / 4 && took < Duration::from_secs(6), "{moved} moved in {took:?}");
+    let ended = router.figure("websocket_ended{reason=\"restart\"}");
+    assert_eq!((ended, router.figure("websocket_open")), (CLIENTS, 0));
+}
+
+/// A server that breaks, says nothing any more, or closes in order because it goes: its connections go on elsewhere.
+#[rstest]
+#[case::killed(Mode::Kill)]
+#[case::cut_off(Mode::Freeze)]
+#[case::leaves(Mode::Leave)]
+#[tokio::test(flavor = "multi_thread")]
+async fn what_loses_its_server_goes_on_elsewhere(#[case] mode: Mode) {
+    let (first, second) = (Engine::start("w1").await, Engine::start("w2").await);
+    let discovery = Discovery::start().await;
+    let told = settings(&[("ping_s = 20", "ping_s = 0.3"), ("pong_s = 10", "pong_s = 0.3")]);
+    let router = start(&[&first, &second], discovery.address, &told);
+    let clients = router.clients(20, "x").await;
+    assert!(first.open() > 0 && second.open() > 0);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let (lost, since) = (first.open(), Instant::now());
+    let before = second.open();
+    first.mode.send(mode).unwrap();
+    router.until("moved", |router| router.figure("websocket_moved") >= lost).await;
+    // A ping's time, an answer's, and the turns that the moves need.
+    assert!(since.elapsed() < Duration::from_millis(600 + 1_500), "{:?}", since.elapsed());
+    if mode == Mode::Kill {
+        // Whoever is tried there meanwhile breaks as well.
+        assert!(second.open() >= before);
+    }
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    router.call("PUT /standby");
+    for client in clients {
+        let seen = client.await.unwrap();
+        assert!(seen.gaps.is_empty() && seen.last > 5, "{seen:?}");
+        assert_eq!(seen.close.map(|close| close.0), Some(1012));
+    }
+}
+
+/// A message that is half out can't be gone on with, and a word of the client that nobody acknowledged is not said
+/// again: both end with a final message when their server drains, and the rest moves.
+#[tokio::test(flavor = "multi_thread")]
+async fn what_cannot_move_is_closed_in_order() {
+    let (first, second) = (Engine::start("w1").await, Engine::start("w2").await);
+    let mut discovery = Discovery::start().await;
+    let told = settings(&[("longest_wait_ms = 4000", "longest_wait_ms = 1500")]);
+    let router = start(&[&first], discovery.address, &told);
+    let half = router.clients(1, "part").await;
+    let mut unacked = router.connect("quiet&noack").await.unwrap();
+    let mut acked = router.connect("quiet").await.unwrap();
+    let fresh = router.connect("quiet").await.unwrap();
+    unacked.send(Message::text("book")).await.unwrap();
+    acked.send(Message::text("filter")).await.unwrap();
+    assert_eq!(acked.next().await.unwrap().unwrap(), Message::text("{\"ack\":1}"));
+    // Half a message of the client, too.
+    let mut speaking = router.connect("quiet").await.unwrap();
+    let begun = Frame::message("ha".as_bytes().to_vec(), OpCode::Data(Data::Text), false);
+    speaking.send(Message::Frame(begun)).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    discovery.tell(&[first.entry("leaving", 0), second.entry("active", 0)]);
+    for seen in [half.into_iter().next().unwrap().await.unwrap(), watch(unacked).await, watch(speaking).await]
+    {
+        let code = seen.close.expect("a final message").0;
+        assert!(code == 1012 || code == 1013, "{code}");
+    }
+    router.until("moved", |router| router.figure("websocket_moved") == 2 && second.open() == 2).await;
+    drop((acked, fresh));
+    router.until("all ended", |router| router.figure("websocket_open") == 0 && second.open() == 0).await;
+}
+
+/// A client that reads nothing holds its own server's connection back, and nobody else.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_slow_client_holds_back_its_own_connection_alone() {
+    let engine = Engine::start("w1").await;
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &settings(&[]));
+    let slow = router.connect("flood").await.unwrap();
+    let quick = router.clients(1, "x").await;
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let status = std::fs::read_to_string(format!("/proc/{}/status", router.child.id())).unwrap();
+    let memory = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+    let kib: usize = memory.trim().strip_suffix(" kB").unwrap().parse().unwrap();
+    assert!(kib < 64 * 1024, "{kib} KiB");
+    // It still gets what waited, in order, and the other one never noticed.
+    let mut seen = tokio::spawn(watch(slow));
+    assert!(tokio::time::timeout(Duration::from_millis(500), &mut seen).await.is_err());
+    router.call("PUT /standby");
+    let (slow, quick) = (seen.await.unwrap(), quick.into_iter().next().unwrap().await.unwrap());
+    assert!(slow.gaps.is_empty() && slow.last > 100 && slow.close.is_some(), "{slow:?}");
+    assert!(quick.gaps.is_empty() && quick.last >= 30, "{quick:?}");
+}
+
+/// Many come at once: as many as may are let in, the others hear when to come again, and not all the same.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_storm_is_let_in_up_to_the_caps() {
+    let engine = Engine::start("w1").await;
+    let told =
+        settings(&[("most_of_tenant = 200", "most_of_tenant = 30"), ("new_per_s = 80", "new_per_s = 50")]);
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &told);
+    let all: Vec<_> = futures_util::future::join_all((0..200).map(|_| router.connect("quiet"))).await;
+    let mut times = HashMap::<u64, usize>::new();
+    let mut statuses = HashMap::<u16, usize>::new();
+    for refused in all.iter().filter_map(|one| one.as_ref().err()) {
+        let tungstenite::Error::Http(answer) = refused else { panic!("{refused}") };
+        let after: f64 = answer.headers()["retry-after"].to_str().unwrap().parse().unwrap();
+        *times.entry(after as u64).or_default() += 1;
+        *statuses.entry(answer.status().as_u16()).or_default() += 1;
+    }
+    let open = all.iter().filter(|one| one.is_ok()).count();
+    assert!((10..=30).contains(&open), "{open}");
+    assert!(
+        statuses[&429] >= 100 && statuses.keys().all(|status| [429, 503].contains(status)),
+        "{statuses:?}"
+    );
+    assert!(times.len() >= 3 && times.values().all(|many| *many < 120), "{times:?}");
+    check_pace(
+        &engine.arrivals.lock().unwrap(),
+        Instant::now() - Duration::from_secs(9),
+        50.0,
+        Duration::from_millis(60),
+    );
+}
+
+/// SIGTERM sends all away with a final message, and the program ends; SIGHUP brings new caps and keeps what is open.
+#[tokio::test(flavor = "multi_thread")]
+async fn the_life_cycle_holds_for_connections_too() {
+    let engine = Engine::start("w1").await;
+    let told = settings(&[("most_of_tenant = 200", "most_of_tenant = 2")]);
+    let mut router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &told);
+    let clients = router.clients(2, "x").await;
+    let full = |error: tungstenite::Error| matches!(error, tungstenite::Error::Http(a) if a.status() == 429);
+    assert!(router.connect("x").await.is_err_and(full));
+    let signal = |name: &str| {
+        let id = router.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    };
+    std::fs::write(router.folder.path().join("websocket.toml"), settings(&[("= 200", "= 3")])).unwrap();
+    signal("-HUP");
+    router.until("reloaded", |router| router.figure("reload_success") == 1).await;
+    let third = tokio::spawn(watch(router.connect("x").await.unwrap()));
+    let since = Instant::now();
+    signal("-TERM");
+    for client in clients.into_iter().chain([third]) {
+        assert_eq!(client.await.unwrap().close.map(|close| close.0), Some(1012));
+    }
+    assert!(router.child.wait().unwrap().success() && since.elapsed() < Duration::from_secs(4));
+}
+
+/// A raw client: the head of an upgrade with these fields, the answer's head, and what follows it.
+async fn raw(router: &Router, request: &str) -> (TcpStream, String) {
+    let mut stream = TcpStream::connect(router.clients).await.unwrap();
+    stream.write_all(request.as_bytes()).await.unwrap();
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    (stream, String::from_utf8(head).unwrap())
+}
+
+const UPGRADE: &str = "GET /v1/follow?echo HTTP/1.1\r\nHost: x\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n\
+    Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nAuthorization: Bearer secret\r\n\r\n";
+
+/// What a failed upgrade gets, each for its reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn upgrades_are_checked() {
+    let engine = Engine::start("w1").await;
+    let key = "\n[[key]]\nenv = \"KEY\"\ntenant = \"donaupay\"\n";
+    let told = settings(&[]) + key;
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &told);
+    let cases = [
+        ("GET /v1/follow", "GET /v1/other", "404", ""),
+        ("GET /v1", "POST /v1", "405", "allow: GET"),
+        ("Upgrade: websocket\r\n", "", "426", "upgrade: websocket"),
+        ("Version: 13", "Version: 8", "426", "sec-websocket-version: 13"),
+        ("Key: dGhlIHNhbXBsZSBub25jZQ==", "Key: short", "400", ""),
+        ("Host: x\r\n", "Host: x\r\nOrigin: https://evil.example\r\n", "403", ""),
+        ("Host: x\r\n", "Host: x\r\nSec-WebSocket-Protocol: a b\r\n", "400", ""),
+        ("Bearer secret", "Bearer other", "401", "www-authenticate: Bearer"),
+        ("Host: x\r\n", "Host: x\r\nOrigin: https://LAB.example\r\n", "101", "s3pPLMBiTxaQ9kYGzzhZRbK+xOo="),
+        (
+            "Host: x\r\n",
+            "Host: x\r\nSec-WebSocket-Protocol: log.v2, log.v1\r\n",
+            "101",
+            "sec-websocket-protocol: log.v2",
+        ),
+    ];
+    for (old, new, status, field) in cases {
+        assert!(UPGRADE.contains(old));
+        let (_, head) = raw(&router, &UPGRADE.replace(old, new)).await;
+        assert!(head.starts_with(&format!("HTTP/1.1 {status} ")) && head.contains(field), "{new:?}: {head}");
+    }
+    // No server: 503 and a time.
+    engine.mode.send(Mode::Kill).unwrap();
+    let mut wrong = settings(&[("writes", "reads")]);
+    let (mut command, _folder) = prepare(&[&engine], "127.0.0.1:9".parse().unwrap(), &wrong);
+    let ended = command.output().unwrap();
+    assert_eq!(ended.status.code(), Some(1));
+    let line = String::from_utf8(ended.stderr).unwrap();
+    assert!(
+        line.ends_with("kind `reads` only reads: it cannot take connections\n") && line.lines().count() == 1,
+        "{line}"
+    );
+    wrong = settings(&[("new_per_s", "new_per_sec")]);
+    let (mut command, _folder) = prepare(&[&engine], "127.0.0.1:9".parse().unwrap(), &wrong);
+    assert!(String::from_utf8(command.output().unwrap().stderr).unwrap().contains("new_per_sec"));
+}
+
+/// A client's frame: masked with zeros, so that its bytes can be read here.
+fn frame(first: u8, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = vec![first];
+    match payload.len() {
+        short @ 0..=125 => bytes.push(0x80 | short as u8),
+        long => {
+            bytes.push(0x80 | 126);
+            bytes.extend((long as u16).to_be_bytes());
+        }
+    }
+    bytes.extend([0; 4]);
+    bytes.extend(payload);
+    bytes
+}
+
+fn unmasked(first: u8, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = frame(first, payload);
+    bytes[1] &= 0x7f;
+    bytes.drain(2..6);
+    bytes
+}
+
+/// The conformance set: what a client sends, and what comes back from a server that echoes messages. A close is told by
+/// its code.
+#[rstest]
+#[case::text(vec![frame(0x81, b"ab")], vec![unmasked(0x81, b"ab")])]
+#[case::empty(vec![frame(0x81, b"")], vec![unmasked(0x81, b"")])]
+#[case::binary(vec![frame(0x82, &[0, 255])], vec![unmasked(0x82, &[0, 255])])]
+#[case::fragments_join(vec![frame(0x01, b"a\xc3"), frame(0x89, b"p"), frame(0x80, b"\xbc")], vec![unmasked(0x8a, b"p"), unmasked(0x81, "aü".as_bytes())])]
+#[case::ping(vec![frame(0x89, b"x")], vec![unmasked(0x8a, b"x")])]
+#[case::pong_unasked(vec![frame(0x8a, b"x"), frame(0x81, b"y")], vec![unmasked(0x81, b"y")])]
+#[case::close_carried(vec![frame(0x88, b"\x0b\xb8bye")], vec![unmasked(0x88, b"\x0b\xb8bye")])]
+#[case::not_masked(vec![unmasked(0x81, b"ab")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::reserved_bit(vec![frame(0xc1, b"ab")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::reserved_opcode(vec![frame(0x83, b"ab")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::long_control(vec![frame(0x89, &[0; 126])], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::control_in_fragments(vec![frame(0x09, b"x")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::continuation_of_nothing(vec![frame(0x80, b"x")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::text_in_fragments(vec![frame(0x01, b"x"), frame(0x81, b"y")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::close_of_one_byte(vec![frame(0x88, b"x")], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::close_with_1005(vec![frame(0x88, &1005u16.to_be_bytes())], vec![unmasked(0x88, &1002u16.to_be_bytes())])]
+#[case::no_text(vec![frame(0x81, b"a\xff")], vec![unmasked(0x88, &1007u16.to_be_bytes())])]
+#[case::cut_character(vec![frame(0x01, b"\xc3"), frame(0x80, b"")], vec![unmasked(0x88, &1007u16.to_be_bytes())])]
+#[case::surrogate(vec![frame(0x81, b"\xed\xa0\x80")], vec![unmasked(0x88, &1007u16.to_be_bytes())])]
+#[case::large_message(vec![frame(0x01, &[b'x'; 60_000]), frame(0x00, &[b'x'; 60_000]), frame(0x00, &[b'x'; 60_000]), frame(0x00, &[b'x'; 60_000]), frame(0x80, &[b'x'; 60_000])], vec![unmasked(0x88, &1009u16.to_be_bytes())])]
+#[case::large_frame(vec![vec![0x82, 0xff, 0, 0, 0, 0, 0x40, 0, 0, 0, 0, 0, 0, 0]], vec![unmasked(0x88, &1009u16.to_be_bytes())])]
+#[tokio::test(flavor = "multi_thread")]
+async fn frames_conform(#[case] sent: Vec<Vec<u8>>, #[case] wanted: Vec<Vec<u8>>) {
+    let engine = Engine::start("w1").await;
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &settings(&[]));
+    let (mut stream, head) = raw(&router, UPGRADE).await;
+    assert!(head.starts_with("HTTP/1.1 101 "), "{head}");
+    for bytes in sent {
+        // In two parts: a frame need not come whole.
+        let (first, rest) = bytes.split_at(bytes.len() / 2);
+        let _ = stream.write_all(first).await;
+        tokio::task::yield_now().await;
+        let _ = stream.write_all(rest).await;
+    }
+    for frame in wanted {
+        let mut got = vec![0; 2];
+        let read = async {
+            stream.read_exact(&mut got).await.unwrap();
+            let mut payload = vec![0; usize::from(got[1])];
+            stream.read_exact(&mut payload).await.unwrap();
+            got.extend(payload);
+        };
+        tokio::time::timeout(PATIENCE, read).await.expect("a frame");
+        if frame[0] == 0x88 && frame.len() == 4 {
+            assert_eq!((got[0], &got[2..4]), (0x88, &frame[2..4]), "{got:?}");
+        } else {
+            assert_eq!(got, frame);
+        }
+    }
+}
--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -40,8 +40,6 @@
 /// One in so many turns goes to new connections while others wait for a move: a release may take most of what servers
 /// take, and must not shut the door.
 const NEW_EACH: u32 = 4;
-/// A server that turned a connection away gets none for so long.
-const REST: Millis = 200;
 /// When no offered server suited, the next pick waits so long.
 const STALL: Millis = 50;
 
@@ -355,7 +353,10 @@
             return None;
         }
         let turned = matches!(attempt, Attempt::Never | Attempt::Maybe);
-        self.fleet.lost(&self.rules, to, turned.then_some(now + REST));
+        self.fleet.lost(&self.rules, to);
+        if turned {
+            self.fleet.rest(&self.rules, to, now);
+        }
         // Again where it cannot have run, or may run twice.
         let again = match attempt {
             Attempt::Maybe => safe && tries < self.rules.tries,
@@ -394,9 +395,10 @@
     pub fn broke(&mut self, id: SessionId, now: Millis) -> Option<Action> {
         let session = self.sessions.get(&id)?;
         let (opened, movable, state) = (session.opened, session.movable, session.state);
-        let gone = |at| self.fleet.get(at).is_none_or(|server| server.drains.is_some());
         match state {
             State::Open { at } => {
+                self.fleet.rest(&self.rules, at, now);
+                let gone = |at| self.fleet.get(at).is_none_or(|server| server.drains.is_some());
                 let code = if gone(at) { Code::Away } else { Code::Restart };
                 let due = self.fleet.get(at).and_then(|server| server.drains);
                 let until = due.unwrap_or(now + self.rules.longest_wait);
@@ -437,11 +439,11 @@
             }
             State::Opening { to, .. } => {
                 self.trying -= 1;
-                self.fleet.lost(&self.rules, to, None);
+                self.fleet.lost(&self.rules, to);
             }
             State::Moving { from, to, .. } => {
                 self.trying -= 1;
-                self.fleet.lost(&self.rules, to, None);
+                self.fleet.lost(&self.rules, to);
                 if let Some(from) = from {
                     self.leave(from, key);
                 }
@@ -647,7 +649,7 @@
         let (drains, last) = (server.drains.filter(|_| there), server.open.len() == 1);
         if !there {
             // It was about to move: it counted among those on their way.
-            return self.fleet.lost(&self.rules, at, None);
+            return self.fleet.lost(&self.rules, at);
         }
         self.fleet.left(&self.rules, at, key);
         if let Some(until) = drains {
--- a/sessions/src/pace.rs
+++ b/sessions/src/pace.rs
@@ -4,6 +4,10 @@
 use crate::{Millis, Rules, ServerId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A server that something speaks against gets nothing for so long, and at most for so long.
+const REST: Millis = 200;
+const LONGEST_REST: Millis = 5_000;
+
 /// How servers warm up.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Warmth {
@@ -42,6 +46,8 @@
     /// From when on the next one may go: a bucket as deep as one connection. A deeper one would let all routers send
     /// theirs at once.
     next: Millis,
+    /// Attempts that failed there, and connections that broke, since one got there last.
+    failed: u32,
 }
 
 impl Server {
@@ -73,11 +79,18 @@
     /// A server is listed and does not drain. A later start voids what was known of its pace.
     pub(crate) fn list(&mut self, rules: &Rules, id: ServerId, up_since: Option<Millis>, now: Millis) {
         self.take_out(id);
-        let fresh =
-            || Server { up_since, drains: None, gone: false, open: BTreeSet::new(), coming: 0, next: now };
+        let fresh = || Server {
+            up_since,
+            drains: None,
+            gone: false,
+            open: BTreeSet::new(),
+            coming: 0,
+            next: now,
+            failed: 0,
+        };
         let server = self.servers.entry(id).or_insert_with(fresh);
         if server.up_since != up_since {
-            server.next = now;
+            (server.next, server.failed) = (now, 0);
         }
         (server.up_since, server.drains, server.gone) = (up_since, None, false);
         self.taking += 1;
@@ -149,11 +162,18 @@
         self.change(rules, id, |server| server.coming += 1);
     }
 
-    /// It did not get there; `rest`: the server gets nothing for so long.
-    pub(crate) fn lost(&mut self, rules: &Rules, id: ServerId, rest: Option<Millis>) {
+    /// It did not get there.
+    pub(crate) fn lost(&mut self, rules: &Rules, id: ServerId) {
+        self.change(rules, id, |server| server.coming = server.coming.saturating_sub(1));
+    }
+
+    /// Something speaks against a server: it rests, twice as long each time until a connection gets there. What waits
+    /// goes to others first, and a server that is dead and still listed costs few attempts.
+    pub(crate) fn rest(&mut self, rules: &Rules, id: ServerId, now: Millis) {
         self.change(rules, id, |server| {
-            server.coming = server.coming.saturating_sub(1);
-            server.next = rest.map_or(server.next, |until| server.next.max(until));
+            let rest = (REST << server.failed.min(8)).min(LONGEST_REST);
+            server.failed = server.failed.saturating_add(1);
+            server.next = server.next.max(now + rest);
         });
     }
 
@@ -161,6 +181,7 @@
     pub(crate) fn arrived(&mut self, rules: &Rules, id: ServerId, key: (Millis, crate::SessionId)) {
         self.change(rules, id, |server| {
             server.coming = server.coming.saturating_sub(1);
+            server.failed = 0;
             server.open.insert(key);
         });
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -338,6 +338,25 @@
         listed.filter(|server| !server.usable(now)).count()
     }
 
+    /// The server that takes one more long-lived connection: of these the one with most room, as a writer's.
+    pub fn place(&mut self, now: Time, among: &[ServerId]) -> Option<ServerId> {
+        self.now = now;
+        let means = [Role::Writer, Role::Mixed].map(|role| self.mean_report(role));
+        let usable = |id: &ServerId| Some((*id, self.servers.get(id).filter(|s| s.usable(now))?));
+        let score = |(id, server): (ServerId, &Server)| {
+            let mean = means[usize::from(server.role == Role::Mixed)];
+            (id, -RELEASE_WEIGHT * self.older(server) - self.fullness(server, mean))
+        };
+        best(among.iter().filter_map(usable).map(score)).map(|(id, _)| id)
+    }
+
+    /// So many tokens more, or fewer, are out at a server for long-lived connections.
+    pub fn hold(&mut self, at: ServerId, tokens: f64) {
+        if let Some(server) = self.servers.get_mut(&at) {
+            server.used = (server.used + tokens).max(0.0);
+        }
+    }
+
     // The list of servers.
 
     fn follow_list(&mut self, members: Members, out: &mut Vec<Action>) {
