--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -206,6 +206,11 @@
         usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
         let roles = settings.kinds.iter().map(|kind| kind.role).collect();
+        // What a reader of the log needs to tell what was late.
+        for (name, class) in names.classes.iter().zip(&settings.classes) {
+            let (aim, more) = (class.aim.secs() * 1e3, class.aim_per_1000.secs() * 1e3);
+            log!("class name={name:?} aim_ms={aim} aim_per_1000_ms={more} worth={}", class.worth);
+        }
         let router = Router::new(settings, seed)?;
         let tallies = RefCell::new(vec![Tally::default(); names.classes.len()]);
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
@@ -723,7 +728,7 @@
             }
         }
         log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={}",
             call.label,
             self.class_name(call.class),
             outcome,
@@ -731,7 +736,8 @@
             ms(open.first),
             ms(open.sent),
             ms(open.read),
-            call.arrived.elapsed().as_millis()
+            call.arrived.elapsed().as_millis(),
+            call.prompt_len
         );
     }
 
@@ -884,6 +890,7 @@
 fn tell(server: &Server, now: Instant) {
     if server.told.get().is_none() {
         server.told.set(Some(now));
+        log!("list drains server={}", server.label);
     }
 }
 
--- a/router/src/live.rs
+++ b/router/src/live.rs
@@ -116,7 +116,10 @@
     /// New settings: what is open stays, and follows the new ones from its next step on.
     pub fn reload(&self, told: WebSocket) {
         self.sessions.borrow_mut().set_rules(told.rules);
-        *self.told.borrow_mut() = Rc::new(told);
+        let old = self.told();
+        // What servers were told of, and what weighs there, holds until the next start.
+        let (listen, kinds, load_tokens) = (old.listen, old.kinds.clone(), old.load_tokens);
+        *self.told.borrow_mut() = Rc::new(WebSocket { listen, kinds, load_tokens, ..told });
         self.changed.notify_one();
     }
 
--- a/router/tests/websocket.rs
+++ b/router/tests/websocket.rs
@@ -29,6 +29,8 @@
     Freeze,
     /// It closes its connections in order: it goes.
     Leave,
+    /// It takes connections and never answers an upgrade.
+    Mute,
 }
 
 /// A server of test logs: on each connection messages with ids that go on behind `Last-Event-ID`.
@@ -79,6 +81,10 @@
 
 /// One connection of a server.
 async fn follow(stream: TcpStream, mode: &mut watch::Receiver<Mode>) {
+    let mute = *mode.borrow() == Mode::Mute;
+    if mute {
+        return std::future::pending().await;
+    }
     let (mut query, mut from) = (String::new(), 0);
     #[allow(clippy::result_large_err)]
     let hear = |request: &Request, mut response: Response| {
@@ -215,7 +221,10 @@
     let members: Vec<String> = engines.iter().map(|engine| engine.entry("active", 0)).collect();
     let config = include_str!("config.json")
         .replace("{d}", &discovery.to_string())
-        .replace("\"sockets\": 256", "\"sockets\": 4096")
+        .replace(
+            "\"sockets\": 256",
+            if told.ends_with(SMALL) { "\"sockets\": 4096, \"memory_mb\": 40" } else { "\"sockets\": 20000" },
+        )
         .replace("{r1}", "127.0.0.1:9");
     let (before, rest) = config.split_once("{\"id\": \"w1\"").unwrap();
     let (_, after) = rest.split_once("]},").unwrap();
@@ -229,8 +238,15 @@
     (command, folder)
 }
 
+/// Stands in a file whose router is told of little memory.
+const SMALL: &str = "\n# small\n";
+
 fn start(engines: &[&Engine], discovery: SocketAddr, told: &str) -> Router {
-    let (mut command, folder) = prepare(engines, discovery, told);
+    let (command, folder) = prepare(engines, discovery, told);
+    begin(command, folder)
+}
+
+fn begin(mut command: Command, folder: tempfile::TempDir) -> Router {
     let mut child = command.spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
     let mut address = |what: &str| {
@@ -459,6 +475,159 @@
     router.until("all ended", |router| router.figure("websocket_open") == 0 && second.open() == 0).await;
 }
 
+/// The server that a connection moves to never answers, and drains while the move is under way: the old server goes on
+/// meanwhile, and another one takes it in the end, once.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_move_that_fails_half_way_ends_in_one_outcome() {
+    let (old, mute, last) = (Engine::start("w1").await, Engine::start("w2").await, Engine::start("w3").await);
+    mute.mode.send(Mode::Mute).unwrap();
+    let mut discovery = Discovery::start().await;
+    let change =
+        [("upgrade_ms = 1000", "upgrade_ms = 300"), ("longest_wait_ms = 4000", "longest_wait_ms = 8000")];
+    let router = start(&[&old], discovery.address, &settings(&change));
+    let clients = router.clients(3, "x").await;
+    discovery.tell(&[old.entry("leaving", 0), mute.entry("active", 0)]);
+    router.until("a move under way", |router| router.figure("websocket_trying") > 0).await;
+    let drained = Instant::now();
+    discovery.tell(&[mute.entry("leaving", 0), last.entry("active", 0)]);
+    router.until("moved", |router| router.figure("websocket_moved") == 3 && old.open() == 0).await;
+    assert!(router.figure("websocket_put_off") >= 1);
+    let late = |at: &&Instant| **at > drained + Duration::from_millis(500);
+    assert_eq!(mute.arrivals.lock().unwrap().iter().filter(late).count(), 0);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert_eq!(last.open(), 3);
+    router.call("PUT /standby");
+    for client in clients {
+        let seen = client.await.unwrap();
+        assert!(seen.gaps.is_empty() && seen.close.is_some(), "{seen:?}");
+    }
+}
+
+/// Peers that are there no more, or say nothing: a client that answers no ping, one over which nothing passes, and those
+/// whose buffers would take more memory than all may.
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_idle_and_heavy_connections_end() {
+    let engine = Engine::start("w1").await;
+    let change = [
+        ("ping_s = 20", "ping_s = 0.2"),
+        ("pong_s = 10", "pong_s = 0.3"),
+        ("idle_s = 3600", "idle_s = 1.2"),
+        ("most_of_tenant = 200", "most_of_tenant = 400"),
+        ("new_per_s = 80", "new_per_s = 400"),
+    ];
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &settings(&change));
+    // A raw client reads and answers nothing by itself.
+    let (_dead, head) = raw(&router, UPGRADE).await;
+    assert!(head.starts_with("HTTP/1.1 101 "));
+    let since = Instant::now();
+    router.until("dead", |router| router.figure("websocket_ended{reason=\"client-silent\"}") == 1).await;
+    assert!((400..1_500).contains(&since.elapsed().as_millis()), "{:?}", since.elapsed());
+    let idle = router.connect("quiet").await.unwrap();
+    let seen = watch(idle).await;
+    assert_eq!(seen.close.map(|close| close.0), Some(1001));
+    // 4 MB of memory told for all buffers, and 120 clients that take nothing of a flood.
+    let change = [("most_of_tenant = 200", "most_of_tenant = 400"), ("new_per_s = 80", "new_per_s = 400")];
+    let router = start(&[&engine], "127.0.0.1:9".parse().unwrap(), &(settings(&change) + SMALL));
+    let mut slow = Vec::new();
+    for _ in 0..120 {
+        slow.push(router.connect("flood").await.unwrap());
+    }
+    router.until("heavy", |router| router.figure("websocket_ended{reason=\"no-memory\"}") >= 20).await;
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let left = router.figure("websocket_open");
+    assert!((30..=100).contains(&left), "{left} left");
+}
+
+/// During an upgrade both processes take connections; the old one's clients are sent away and come to the new one.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_version_takes_over() {
+    let engine = Engine::start("w1").await;
+    let free = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().to_string();
+    let told = settings(&[]).replace("127.0.0.1:0", &free);
+    let inherited = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let nowhere = "127.0.0.1:9".parse().unwrap();
+    let begin = || {
+        let (command, folder) = prepare(&[&engine], nowhere, &told);
+        let mut shell = Command::new("sh");
+        shell.args(["-c", "exec \"$0\" \"$@\" 3<&0 </dev/null"]).arg(command.get_program());
+        shell.args(command.get_args()).env_clear();
+        shell.envs(command.get_envs().filter_map(|(name, value)| Some((name, value?))));
+        shell.env("PROXY_FD", "3").env("TMPDIR", folder.path());
+        shell.stdin(Stdio::from(std::os::fd::OwnedFd::from(inherited.try_clone().unwrap())));
+        shell.stderr(Stdio::piped());
+        begin(shell, folder)
+    };
+    let mut old = begin();
+    let clients = old.clients(4, "x").await;
+    let new = begin();
+    assert!(Command::new("kill").args(["-TERM", &old.child.id().to_string()]).status().unwrap().success());
+    for client in clients {
+        assert_eq!(client.await.unwrap().close.map(|close| close.0), Some(1012));
+    }
+    let again = new.clients(4, "x").await;
+    assert!(old.child.wait().unwrap().success());
+    assert_eq!(new.figure("websocket_open"), 4);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    drop(new);
+    for client in again {
+        assert!(client.await.unwrap().last > 0);
+    }
+}
+
+/// Memory and CPU of many connections, and the time of their moves; not a part of CI. `cargo test --release -p
+/// fawnstream --test websocket -- --ignored --nocapture`, with as many connections as `CONNECTIONS` says.
+#[ignore = "a measurement"]
+#[tokio::test(flavor = "multi_thread")]
+async fn measure() {
+    let count: usize = std::env::var("CONNECTIONS").ok().and_then(|n| n.parse().ok()).unwrap_or(2_000);
+    let engines = [Engine::start("w1").await, Engine::start("w2").await, Engine::start("w3").await];
+    let mut discovery = Discovery::start().await;
+    let told = settings(&[
+        ("most_of_tenant = 200", "most_of_tenant = 100000"),
+        ("most_at_server = 400", "most_at_server = 100000"),
+        ("new_per_s = 80", "new_per_s = 1000"),
+        ("most_waiting = 1000", "most_waiting = 100000"),
+    ]);
+    let router = start(&[&engines[0], &engines[1]], discovery.address, &told);
+    let proc = |what: &str| std::fs::read_to_string(format!("/proc/{}/{what}", router.child.id())).unwrap();
+    let kib = || {
+        let status = proc("status");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap().to_owned();
+        line.trim().strip_suffix(" kB").unwrap().parse::<u64>().unwrap()
+    };
+    let ticks = || {
+        let stat = proc("stat");
+        let fields: Vec<&str> = stat.rsplit(')').next().unwrap().split(' ').collect();
+        fields[12].parse::<u64>().unwrap() + fields[13].parse::<u64>().unwrap()
+    };
+    let empty = kib();
+    let since = Instant::now();
+    let mut clients = Vec::new();
+    for _ in 0..8 {
+        clients.extend(router.clients(count / 8, "quiet").await);
+    }
+    println!("open={} ms={}", router.figure("websocket_open"), since.elapsed().as_millis());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (full, before) = (kib(), ticks());
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    println!(
+        "idle: {} bytes each, {} ms of CPU a second",
+        (full - empty) * 1024 / count as u64,
+        (ticks() - before) * 2
+    );
+    let (since, before) = (Instant::now(), ticks());
+    let there = engines[0].open();
+    discovery.tell(&[engines[0].entry("leaving", 0), engines[2].entry("active", 0)]);
+    router.until("moved", |_| engines[0].open() == 0).await;
+    let (moved, cpu) = (router.figure("websocket_moved"), (ticks() - before) * 10);
+    let closed = router.figure("websocket_ended{reason=\"restart\"}");
+    println!(
+        "drain of {there}: moved={moved} closed={closed} ms={} cpu_ms={cpu}",
+        since.elapsed().as_millis()
+    );
+    drop(clients);
+}
+
 /// A client that reads nothing holds its own server's connection back, and nobody else.
 #[tokio::test(flavor = "multi_thread")]
 async fn a_slow_client_holds_back_its_own_connection_alone() {
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -503,3 +503,28 @@
     };
     assert_eq!(run(0), run(3));
 }
+
+/// Long-lived connections and requests see each other: a writer that holds connections gets neither while another has
+/// more room, and one that drains or is full gets no connection at all.
+#[test]
+fn long_lived_connections_weigh_at_their_server() {
+    let mut bench =
+        Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0), member(12, 1, 0)]);
+    let both = [ServerId(11), ServerId(12)];
+    let place = |bench: &mut Bench| bench.router.place(Time(bench.now), &both).map(|server| server.0);
+    let first = place(&mut bench).unwrap();
+    let other = 23 - first;
+    bench.router.hold(ServerId(first), 40_000.0);
+    assert_eq!(place(&mut bench), Some(other));
+    bench.ask(1, None);
+    assert_eq!(sent_to(&bench.end(1, 0, Verdict::Read)), [other]);
+    // They go: more than there was is never taken off.
+    bench.router.hold(ServerId(first), -50_000.0);
+    bench.router.hold(ServerId(other), 10_000.0);
+    assert_eq!(place(&mut bench), Some(first));
+    let mut leaving = member(first, 1, 0);
+    leaving.state = ServerState::Leaving;
+    bench.hear(Event::Members(Members::Changes(vec![leaving])));
+    assert_eq!(place(&mut bench), Some(other));
+    assert_eq!(bench.router.place(Time(bench.now), &[ServerId(first), ServerId(99)]), None);
+}
