Hold a quarter of the memory for an idle long-lived connection

Cause: at 3,600 idle connections each held 48.6 KB (RSS). The upgrade's buffers (8 KiB each way at both sides), its request and the connect's future lived as long as the connection, and each read reserved 4 KiB. Change: what the upgrade needed is let go when frames begin, futures that end early are apart, reads go through the stack. Ruled out: the relay itself (2 KB).

--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -251,7 +251,8 @@
 {
     let service = fn_service(move |request: Request| async move { Ok::<_, Infallible>(plain(&request)) });
     let upgraded = fn_service(move |(request, wire): (Request, Framed<Wire, h1::Codec>)| {
-        let upgraded = upgrade(request, wire);
+        // Apart from the library's own state, which is as large as the largest of both.
+        let upgraded = Box::pin(upgrade(request, wire));
         async move {
             upgraded.await;
             Ok::<_, Infallible>(())
--- a/router/src/clients/websocket.rs
+++ b/router/src/clients/websocket.rs
@@ -199,6 +199,12 @@
     }
 }
 
+/// The client's side, out of the server library's hands.
+fn leg(wire: Upgrade, largest: usize) -> Leg {
+    let parts = wire.into_parts();
+    Leg::new(Box::new(parts.io), parts.read_buf, largest, true)
+}
+
 /// One connection, from its upgrade to its end.
 pub async fn serve(live: Rc<Live>, shared: Rc<Shared>, connect: Duration, request: Request, wire: Upgrade) {
     let conn = request.conn_data::<Rc<Conn>>().cloned();
@@ -233,7 +239,7 @@
         match member.orders.recv().await {
             Some(Order::Try(server)) => {
                 let label = server.label.clone();
-                match open_upstream(&member, server, &ask, None, connect).await {
+                match Box::pin(open_upstream(&member, server, &ask, None, connect)).await {
                     Ok(upstream) => break Some((upstream, label)),
                     Err(error) => {
                         crate::log!("websocket attempt id={name} server={label} reason={}", error.reason);
@@ -276,8 +282,9 @@
         return member.turned("client-left");
     }
     member.opened();
-    let parts = wire.into_parts();
-    let leg = Leg::new(Box::new(parts.io), parts.read_buf, told.limits.frame, true);
+    // What the upgrade needed goes now: the connection may stay for hours.
+    let leg = leg(wire, told.limits.frame);
+    drop((request, told));
     let class = shared.core.class_name(route.class).to_owned();
     Relay::new(member, leg, upstream, ask, connect, label).run(&class, &tenant_name).await;
 }
--- a/router/src/leg.rs
+++ b/router/src/leg.rs
@@ -7,11 +7,11 @@
 use bytestring::ByteString;
 use std::future::poll_fn;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite};
-use tokio_util::io::poll_read_buf;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Bytes that may wait to be written; past this the other side is not read from. Beside that one more frame.
 const MOST_WAITING: usize = 64 * 1024;
@@ -55,6 +55,7 @@
     pub fn new(io: Box<dyn Stream>, read: BytesMut, largest: usize, of_client: bool) -> Self {
         let codec = Codec::new().max_size(largest);
         let codec = if of_client { codec } else { codec.client_mode() };
+        let read = if read.is_empty() { BytesMut::new() } else { read };
         let (write, heard) = (BytesMut::new(), Instant::now());
         Leg { io, codec, read, write, largest, heard, stuck: None, asked: None }
     }
@@ -82,17 +83,17 @@
                     Err(_) => return Poll::Ready(Err(Fault::Protocol)),
                 }
             }
-            if self.read.capacity() == self.read.len() {
-                self.read.reserve(PIECE);
+            // Read aside: a connection that waits for bytes holds no room for them.
+            let mut piece = [MaybeUninit::uninit(); PIECE];
+            let mut piece = ReadBuf::uninit(&mut piece);
+            if ready!(Pin::new(&mut self.io).poll_read(cx, &mut piece)).is_err() {
+                return Poll::Ready(Err(Fault::Broken));
             }
-            let size = match ready!(poll_read_buf(Pin::new(&mut self.io), cx, &mut self.read)) {
-                Ok(size) => size,
-                Err(_) => return Poll::Ready(Err(Fault::Broken)),
-            };
             self.heard = Instant::now();
-            if size == 0 {
+            if piece.filled().is_empty() {
                 return Poll::Ready(Ok(None));
             }
+            self.read.extend_from_slice(piece.filled());
         }
     }
 
