Serve the newest request first while one of its worth has waited long

Change: while one of a worth has waited LEAST_WAIT of its aim, newcomers of that worth stand ahead of it. No new constant; what has waited long is refused as before, at once when it can no longer be in time.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -440,11 +440,15 @@
         !within
     }
 
-    /// Takes a place in the line: the worthiest first, then the earliest.
+    /// Takes a place in the line: the worthiest first, then the earliest; or the latest, while one of its
+    /// worth has waited long: whoever is served at the end of its wait is late, and fresh ones would be too.
     fn queue(&mut self, id: RequestId) {
         let worth = self.jobs[&id].worth;
-        let place = self.waiting.partition_point(|other| self.jobs[other].worth >= worth);
-        self.waiting.insert(place, id);
+        let first = self.waiting.partition_point(|other| self.jobs[other].worth > worth);
+        let last = self.waiting.partition_point(|other| self.jobs[other].worth >= worth);
+        let long = |id: &RequestId| self.now >= self.jobs[id].arrived + self.jobs[id].aim.times(LEAST_WAIT);
+        let stands = self.waiting[first..last].iter().any(long);
+        self.waiting.insert(if stands { first } else { last }, id);
     }
 
     /// Lets waiting requests through while the writers have room.
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -528,3 +528,27 @@
     assert_eq!(place(&mut bench), Some(other));
     assert_eq!(bench.router.place(Time(bench.now), &[ServerId(first), ServerId(99)]), None);
 }
+
+/// A line in which one has waited long serves whoever came last: those at its end would be late, and so would all behind
+/// them. A short line is served in turn.
+#[test]
+fn while_the_line_stands_the_newest_goes_first() {
+    for (waits, first) in [(100, 100), (400, 101)] {
+        let mut bench = Bench::new(settings(Effect::Safe), vec![member(1, 0, 0), member(11, 1, 0)]);
+        let mut reading = 0;
+        while sent_to(&bench.ask(reading + 1, None)) == [1] {
+            reading += 1;
+        }
+        // The last one asked waits already; it leaves, so that the two that follow are alone in line.
+        bench.hear(Event::Gone(RequestId(reading + 1)));
+        bench.ask(100, None);
+        bench.now += waits * MS;
+        assert_eq!(sent_to(&bench.ask(101, None)), Vec::<u64>::new());
+        let ended = bench.end(1, 0, Verdict::Read);
+        let next = ended.iter().find_map(|action| match action {
+            Action::Send { request, server: ServerId(1), .. } => Some(request.0),
+            _ => None,
+        });
+        assert_eq!(next, Some(first), "after {waits} ms");
+    }
+}
