--- a/losses/src/lib.rs
+++ b/losses/src/lib.rs
@@ -7,6 +7,9 @@
 use serde::Serialize;
 use std::collections::{BTreeMap, HashMap, HashSet};
 
+/// Words that a collector of logs may put before a line.
+const MOST_BEFORE: usize = 3;
+
 /// What a request's worth was lost to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -169,9 +172,21 @@
 }
 
 impl Log {
-    /// The next line; those that tell nothing of requests are passed over.
+    /// The next line; those that tell nothing of requests are passed over. What collects logs may have put a time or a
+    /// name before it.
     pub fn line(&mut self, line: &str) {
-        let Some((kind, rest)) = line.split_once(' ') else { return };
+        let mut line = line;
+        for _ in 0..=MOST_BEFORE {
+            let Some((kind, rest)) = line.split_once(' ') else { return };
+            if self.told(kind, rest) {
+                return;
+            }
+            line = rest;
+        }
+    }
+
+    /// A line of this kind; false if it is none of a router's.
+    fn told(&mut self, kind: &str, rest: &str) -> bool {
         let told = match kind {
             "class" => self.class(rest),
             "request" if rest.contains(" outcome=") && !rest.contains("outcome=handed-over") => {
@@ -181,11 +196,13 @@
             "list" if rest.starts_with("drains ") => field(rest, "server").map(|server| {
                 self.left.insert(server.to_owned());
             }),
-            _ => return,
+            "request" | "list" | "connection" | "life" | "started" => return true,
+            _ => return false,
         };
         if told.is_none() {
             self.unread += 1;
         }
+        true
     }
 
     fn class(&mut self, line: &str) -> Option<()> {
@@ -341,7 +358,10 @@
             "request id=x class=c outcome=broken attempts=2 first_ms=9 sent_ms=0 read_ms=5 ms=9 prompt=1";
         let attempt = "attempt id=x try=1 server=w1 role=writer verdict=Reset reason=stream-broken";
         let left = "list drains server=w1";
-        assert_eq!(book(&[left, request, attempt]).lost.keys().next(), Some(&Cause::BrokeWithDrainedWriter));
+        let drained = Some(&Cause::BrokeWithDrainedWriter);
+        assert_eq!(book(&[left, request, attempt]).lost.keys().next(), drained);
+        let stamped = [left, request, attempt].map(|line| format!("2026-12-01T10:00:00Z node-3 {line}"));
+        assert_eq!(book(&stamped.each_ref().map(String::as_str)).lost.keys().next(), drained);
         let other = left.replace("w1", "w2");
         assert_eq!(book(&[&other, request, attempt]).lost.keys().next(), Some(&Cause::Broke));
     }
