Read customers' keys in one place for both fronts, and derive what was kept twice

Both fronts look a key up by clients::holder; what a list update dropped is the first part of what is gone, not searched for among all members; tried() reads a session's state once, and whether it is tired follows from its tries; the cost benchmark takes its settings from the tests' common module.

--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -1,6 +1,10 @@
 //! What a decision costs at size: `cargo bench -p shedrelay`. Half of the servers read, half write; so many requests are
 //! open, most of them streaming, and as many as the gate holds back wait.
 
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use common::settings;
 use shedrelay::*;
 
 fn main() {
@@ -9,39 +13,16 @@
 
 /// A router with so many servers and so many open requests.
 fn full(servers: u64, open: u64) -> (Router, Vec<Action>) {
-    let kind = |role| Kind { role, memory_tokens: Some(150_000.0) };
-    let settings = Settings {
-        routers: 1,
-        router: 0,
-        max_attempts: 6,
-        may_cancel: true,
-        probed_reports: false,
-        max_backoff: None,
-        list_on_request: false,
-        writers_read: false,
-        over_share_worth: 0.2,
-        rules: Rules {
-            cold_share: 0.3,
-            cold: Span::from_millis(10_000),
-            fall_multiple: 3.0,
-            fall: Span::from_millis(2_000),
-        },
-        kinds: vec![kind(Role::Reader), kind(Role::Writer)],
-        classes: vec![Class {
-            aim: Span::from_millis(60_000),
-            aim_per_1000: Span::default(),
-            worth: 1.0,
-            effect: Effect::Safe,
-        }],
-        tenants: Vec::new(),
-    };
+    let mut told = settings(Effect::Safe);
+    told.routers = 1;
+    (told.classes[0].aim, told.classes[0].aim_per_1000) = (Span::from_millis(60_000), Span::default());
     let member = |server: u64| Member {
         server: ServerId(server),
         kind: KindId((server % 2) as usize),
         cell: CellId(server / 10),
         ..Member::default()
     };
-    let (mut router, mut out) = (Router::new(settings, 7).expect("settings are valid"), Vec::new());
+    let (mut router, mut out) = (Router::new(told, 7).expect("settings are valid"), Vec::new());
     router.handle(Time(1), Event::Members(Members::Full((0..servers).map(member).collect())), &mut out);
     for id in 0..open {
         ask(&mut router, id, &mut out);
--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -19,7 +19,7 @@
 use conn::{Busy, Conn, REQUEST_TIME};
 pub use door::{Held, STILL_OPEN, Shared, serve, serve_upgrades};
 use futures_core::Stream;
-use shedrelay::ClassId;
+use shedrelay::{ClassId, TenantId};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -141,6 +141,20 @@
     pub held: Held,
 }
 
+/// The key is missing or not known.
+#[derive(Debug)]
+pub struct NoKey;
+
+/// Whose key an `Authorization` field holds; nobody's where no keys are told.
+pub fn holder(keys: &[(String, TenantId)], field: Option<&str>) -> Result<Option<TenantId>, NoKey> {
+    if keys.is_empty() {
+        return Ok(None);
+    }
+    let key = field.and_then(|text| text.strip_prefix("Bearer "));
+    let found = key.and_then(|key| keys.iter().find(|(known, _)| known == key.trim()));
+    found.map(|(_, tenant)| Some(*tenant)).ok_or(NoKey)
+}
+
 /// Notes a request on its connection, until its answer is out.
 pub fn note(request: &Request) -> Option<Busy> {
     request.conn_data::<Rc<Conn>>().map(Conn::request)
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -79,12 +79,8 @@
 
 /// Whose key this is; none where the file names no keys.
 pub fn tenant(told: &OpenAi, key: Option<&HeaderValue>) -> Result<Option<TenantId>, Refusal> {
-    if told.keys.is_empty() {
-        return Ok(None);
-    }
-    let key = key.and_then(|value| value.to_str().ok()).and_then(|text| text.strip_prefix("Bearer "));
-    let found = key.and_then(|key| told.keys.iter().find(|(known, _)| known == key.trim()));
-    found.map(|(_, tenant)| Some(*tenant)).ok_or_else(|| Refusal {
+    let key = key.and_then(|value| value.to_str().ok());
+    super::super::holder(&told.keys, key).map_err(|_| Refusal {
         status: StatusCode::UNAUTHORIZED,
         code: Some("invalid_api_key"),
         ..Refusal::invalid(None, "The key is missing or not known.")
--- a/router/src/clients/websocket.rs
+++ b/router/src/clients/websocket.rs
@@ -140,13 +140,8 @@
     if origin.is_some_and(|origin| !told.origins.is_empty() && !told.origins.contains(&origin)) {
         return Err(Bad::Origin);
     }
-    let tenant = if told.keys.is_empty() {
-        None
-    } else {
-        let key = once(fields, &header::AUTHORIZATION)?.and_then(|value| value.strip_prefix("Bearer "));
-        let known = key.and_then(|key| told.keys.iter().find(|(known, _)| known == key.trim()));
-        Some(known.ok_or(Bad::Key)?.1)
-    };
+    let key = if told.keys.is_empty() { None } else { once(fields, &header::AUTHORIZATION)? };
+    let tenant = super::holder(&told.keys, key).map_err(|_| Bad::Key)?;
     let goes_on = |name: &HeaderName| GO_ON.contains(name) || name.as_str().starts_with("x-");
     let on = fields.iter().filter(|(name, _)| goes_on(name));
     let ask = Ask {
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -366,6 +366,8 @@
     pub fn listed(&self, update: Update) {
         let mut gone = Vec::new();
         let mut members = Vec::new();
+        // So many of those that are gone are on the list no more.
+        let mut dropped = 0;
         {
             let mut list = self.list.borrow_mut();
             let now = Instant::now();
@@ -376,6 +378,7 @@
                     gone.push((*id, server.clone()));
                 }
                 list.retain(|id, _| named.contains(id));
+                dropped = gone.len();
             }
             for entry in &update.entries {
                 let Some(member) = self.member(entry) else { continue };
@@ -412,8 +415,7 @@
         }
         let on_news = self.on_news.borrow().clone();
         let news = on_news.is_some().then(|| {
-            let dropped = gone.iter().filter(|(id, _)| !members.iter().any(|member| member.server == *id));
-            let dropped = dropped.map(|(id, _)| News {
+            let dropped = gone[..dropped].iter().map(|(id, _)| News {
                 server: *id,
                 kind: None,
                 state: ServerState::Left,
--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -328,17 +328,11 @@
     /// is ignored.
     pub fn tried(&mut self, id: SessionId, attempt: Attempt, now: Millis) -> Option<Action> {
         let session = self.sessions.get(&id)?;
-        let (to, until, tries) = match session.state {
-            State::Opening { to, until, tries } | State::Moving { to, until, tries, .. } => {
-                (to, until, tries)
-            }
+        let (new, from, to, until, tries) = match session.state {
+            State::Opening { to, until, tries } => (true, None, to, until, tries),
+            State::Moving { from, to, until, tries } => (false, from, to, until, tries),
             _ => return None,
         };
-        let from = match session.state {
-            State::Moving { from, .. } => from,
-            _ => None,
-        };
-        let new = matches!(session.state, State::Opening { .. });
         let (safe, opened, tenant) = (session.safe, session.opened, session.tenant);
         self.trying -= 1;
         if attempt == Attempt::Taken {
@@ -379,9 +373,8 @@
                 if let Some(known) = self.sessions.get_mut(&id) {
                     known.put_off += 1;
                 }
-                let held = self.arrive(at, (opened, id));
-                let tired = self.sessions.get(&id).is_some_and(|known| known.put_off >= self.rules.tries);
-                (held && (tired || !again)).then(|| self.close(id, Code::TryLater, now))
+                let waits = self.arrive(at, (opened, id));
+                (waits && !again).then(|| self.close(id, Code::TryLater, now))
             }
             (false, None) => {
                 self.set(id, State::Lost { until, tries });
