Call for the list at a rate that holds for all routers together

Change: a crate of its own, fleet/, decides when to call: first calls are spread, waits after refusals grow to what all routers need for a call each at 10 a second. docs/design-fleet.md has the bounds of one router and the sum.

Model of such a discovery in fleet's tests: under 60 of 100 routers served with the waits as they were, all with these.

--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,6 @@
+//! What one router of many does so that the sum of all stays bounded. Pure: no clock, no I/O, no threads;
+//! `docs/design-fleet.md` says why it decides as it does.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod calls;
--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -116,7 +116,7 @@
     client.disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
-/// Hands on the lines of a watch until it ends or one of them ends it; gives the reason.
+/// Hands on the lines of a watch, empty ones too, until it ends or one of them ends it; gives the reason.
 async fn read_lines(
     answer: &mut ClientResponse,
     silence: Duration,
@@ -137,9 +137,7 @@
                 return "line-too-long";
             }
             if part.ends_with(b"\n") {
-                if !line.trim_ascii().is_empty()
-                    && let Err(reason) = hear(&line)
-                {
+                if let Err(reason) = hear(&line) {
                     return reason;
                 }
                 line.clear();
--- a/router/src/list/etcd.rs
+++ b/router/src/list/etcd.rs
@@ -142,7 +142,8 @@
             Ok(Err(_)) => return "no-connection",
             Err(_) => return "silent",
         };
-        read_lines(&mut answer, SILENCE, |line| self.line(line, hear)).await
+        let line = |line: &[u8]| if line.trim_ascii().is_empty() { Ok(()) } else { self.line(line, hear) };
+        read_lines(&mut answer, SILENCE, line).await
     }
 
     /// One line of a watch. Garbage is dropped; a watch that etcd cancels (its revision was compacted, say)
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -113,6 +113,7 @@
         }
         None => None,
     };
+    let calls = fawnstream_fleet::calls::Calls::new(config.settings.routers, config.seed);
     let core = core::Core::new(config.settings, config.names, config.seed, usage.clone())?;
     let inherits = inherited.is_some();
     let handover = handover::Handover::new(inherits);
@@ -132,9 +133,7 @@
     let etcd = config.etcd.map(watch::Sender::new);
     match &etcd {
         Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
-        None => {
-            drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, config.seed, hear)))
-        }
+        None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, calls, hear))),
     }
     let shared = Shared::new(core.clone(), live.clone(), config.client_sockets, config.body_bytes, inherits);
     let clients = shared.clone();
