Tell each request's reader and writer, and new servers, in the log

Need: where reads went while servers were replaced could not be told from the log: the request's line named no server.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -150,6 +150,8 @@
     read: Option<Duration>,
     /// How long its first event took.
     first: Option<Duration>,
+    /// The last reader and the last other server that it was sent to.
+    route: [Option<Rc<Server>>; 2],
     started: bool,
     answered: bool,
     left: bool,
@@ -384,6 +386,10 @@
                 let Some(member) = self.member(entry) else { continue };
                 let known = list.get(&member.server).filter(|known| known.address == entry.address);
                 let server = known.cloned().unwrap_or_else(|| {
+                    if member.up_since.is_some() {
+                        let role = if self.roles[member.kind.0] == Role::Reader { "reader" } else { "writer" };
+                        log!("list new server={} role={role} up_since_ms={}", entry.id, entry.up_since_ms);
+                    }
                     Rc::new(Server {
                         label: entry.id.clone(),
                         address: entry.address,
@@ -503,6 +509,7 @@
             sent: None,
             read: None,
             first: None,
+            route: [None, None],
             started: false,
             answered: false,
             left: false,
@@ -566,6 +573,7 @@
             sent: None,
             read: None,
             first: None,
+            route: [None, None],
             started: true,
             answered: true,
             left: false,
@@ -730,7 +738,7 @@
             }
         }
         log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} reader={} writer={}",
             call.label,
             self.class_name(call.class),
             outcome,
@@ -739,7 +747,9 @@
             ms(open.sent),
             ms(open.read),
             call.arrived.elapsed().as_millis(),
-            call.prompt_len
+            call.prompt_len,
+            label(&open.route[0]),
+            label(&open.route[1])
         );
     }
 
@@ -861,6 +871,7 @@
         };
         let (stop, stopped) = oneshot::channel();
         open.current = Some((server.clone(), Some(stop)));
+        open.route[usize::from(server.role != Role::Reader)] = Some(server.clone());
         open.sent.get_or_insert_with(|| open.exchange.call.arrived.elapsed());
         let wait = timeout.map_or(open.deadline, |t| Instant::now() + Duration::from_nanos(t.0));
         let order = Order {
@@ -889,6 +900,11 @@
     time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
 }
 
+/// A server that may be none, for the log.
+fn label(server: &Option<Rc<Server>>) -> &str {
+    server.as_ref().map_or("-", |server| &server.label)
+}
+
 fn tell(server: &Server, now: Instant) {
     if server.told.get().is_none() {
         server.told.set(Some(now));
