Draw which cold servers a request may use, by its beginning, in place of routers' turns

A turn (src/logic.rs, turn) is lost when its router has no request for that reader in its half second, and each router has one a second.

Change: a request draws its cold servers: the first few in a rendezvous order of its beginning, weighted by what a cold server can do at least (rules.cold_share to 1 over rules.cold). What a cold server gets is its part of all requests times the number drawn, which follows from rules.fall_multiple; no router needs to know of others. TURNS_OPEN, COLD_LEAST and turns_used are gone.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -78,12 +78,8 @@
 /// First exclusion of a silent or unreachable server; doubles up to the longest while it stays so.
 const FIRST_OUT: Span = Span::from_millis(1_500);
 const LONGEST_OUT: Span = Span::from_millis(6_000);
-/// Part of a cold server's budget that the routers' turns use up: the pace of warm peers is an estimate.
+/// Part of a cold server's budget that draws may use up: what all routers are asked for is an estimate.
 const COLD_USE: f64 = 0.8;
-/// All routers together send a cold server at least this many requests while it warms.
-const COLD_LEAST: f64 = 3.0;
-/// A turn at a cold server stays open for so many turns of others, or as long as a server takes to fall over.
-const TURNS_OPEN: f64 = 3.0;
 /// How heavily what our reads still have to read at a reader weighs, in parts of the prompt: no report knows
 /// of it yet. Guards against piling reads up at one; more would read too much anew under overload.
 const BACKLOG: f64 = 0.3;
@@ -130,8 +126,6 @@
     heard: Time,
     out_until: Time,
     out_span: Span,
-    /// While cold: turns of all routers that had passed at this router's last send.
-    turns_used: f64,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -513,10 +507,42 @@
 
     /// Servers of a role that may be used.
     fn candidates(&self, role: Role, job: &Job) -> Vec<(ServerId, &Server)> {
-        let open = |(id, s): &(&ServerId, &Server)| {
-            s.role == role && s.usable(self.now) && !job.failed.contains(id) && self.turn(**id, s).1
+        let usable = |(id, s): &(&ServerId, &Server)| {
+            s.role == role && s.usable(self.now) && !job.failed.contains(id)
         };
-        self.servers.iter().filter(open).map(|(id, server)| (*id, server)).collect()
+        let mut all: Vec<_> = self.servers.iter().filter(usable).map(|(id, s)| (*id, s)).collect();
+        self.draw(job, &mut all);
+        all
+    }
+
+    /// How much a server can do of what it will when warm, at least.
+    fn warmth(&self, server: &Server) -> f64 {
+        let rules = &self.settings.rules;
+        let age = server.member.up_since.map_or(rules.cold, |up| self.now - up);
+        let part = (age.secs() / rules.cold.secs().max(1e-9)).clamp(0.0, 1.0);
+        blend(rules.cold_share, 1.0, part)
+    }
+
+    /// Leaves a request those cold servers that it draws: the first few in an order of its own, weighted by warmth.
+    /// A cold server so gets its part of all requests times the number drawn, whatever the routers see of it and
+    /// however many there are. Guards against falling over while cold and rush-back after drains or mass restarts.
+    fn draw(&self, job: &Job, all: &mut Vec<(ServerId, &Server)>) {
+        let warmth: Vec<f64> = all.iter().map(|(_, s)| self.warmth(s)).collect();
+        if warmth.iter().all(|warmth| *warmth >= 1.0) {
+            return;
+        }
+        let key = mix(job.ask.prefix.or(job.ask.session).map_or(job.ask.id.0, |key| key.0));
+        let mean = warmth.iter().sum::<f64>() / warmth.len() as f64;
+        let drawn = (COLD_USE * self.settings.rules.fall_multiple * mean).max(1.0) + fraction(key);
+        let wait = |place: usize| -fraction(key ^ all[place].0.0).ln() / warmth[place];
+        let mut order: Vec<usize> = (0..all.len()).collect();
+        order.sort_by(|a, b| wait(*a).total_cmp(&wait(*b)));
+        order.truncate(drawn as usize);
+        let mut place = 0;
+        all.retain(|_| {
+            place += 1;
+            warmth[place - 1] >= 1.0 || order.contains(&(place - 1))
+        });
     }
 
     /// What the servers of a role report on the mean, fresh reports most. Reckoned once for a choice.
@@ -712,7 +738,6 @@
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, stage: Stage, out: &mut Vec<Action>) {
-        let (turns, _) = self.turn(to, &self.servers[&to]);
         let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
         job.patience = usual.max(job.aim.times(PATIENCE_AIM));
@@ -725,7 +750,6 @@
         server.used += unit(server.role, &job.ask);
         job.unread = if stage == Stage::Reading { (job.ask.prompt_len - job.believed).max(0.0) } else { 0.0 };
         server.unread += job.unread;
-        server.turns_used = turns;
         if stage == Stage::Reading {
             job.reader = Some(to);
         }
@@ -738,29 +762,6 @@
         }
     }
 
-    /// The turns of all routers that have passed at a cold server, and whether one of ours is open. Routers
-    /// take turns by number, in an order hashed for each server, at a pace reckoned from what a server of
-    /// the role usually answers, cold share and allowed multiple. Answers count and not sends, so retries
-    /// never look like capacity. Guards against falling over while cold and rush-back after drains or mass
-    /// restarts, however many routers there are; a lone cold server is slow to be used.
-    fn turn(&self, id: ServerId, server: &Server) -> (f64, bool) {
-        let rules = &self.settings.rules;
-        let up = server.member.up_since.filter(|up| self.now < *up + rules.cold);
-        let Some(age) = up.map(|up| (self.now - up).secs()) else { return (0.0, true) };
-        let routers = f64::from(self.settings.routers);
-        let peers = self.servers.values().filter(|s| s.role == server.role && s.listed()).count().max(1);
-        let life = (self.now - self.born.unwrap_or(self.now)).secs().max(1.0);
-        let rate = routers * self.pools[server.role as usize].answers / life / peers as f64;
-        let pace = rate * rules.cold_share * rules.fall_multiple * COLD_USE;
-        let pace = pace.max(COLD_LEAST / rules.cold.secs().max(1.0));
-        // Turns come closer as it warms: three times the first pace at the end.
-        let turns = pace * age * (1.0 + age / rules.cold.secs());
-        let first = (mix(id.0) % u64::from(self.settings.routers)) as f64 + f64::from(self.settings.router);
-        let since = (turns - first % routers).rem_euclid(routers);
-        let open = turns >= first % routers && since <= TURNS_OPEN.max(pace * rules.fall.secs());
-        (turns, open && turns - since >= server.turns_used)
-    }
-
     // Outcomes.
 
     fn first(&mut self, id: RequestId, attempt: Attempt, out: &mut Vec<Action>) {
