Bound what all routers send to cold servers by a purse beside the draw; cap a limit's step

Change: fleet/ keeps draw, purse, warmth and the parts of beginnings (fawnstream_fleet::{cold, popular}); the module asks it. A router's purse for the cold servers of a role fills at its part of what they may be sent together, by the customers' shares. Sessions of one beginning draw alike in groups of half of a server's part, for themselves where no server is warm. A limit's step is EWMA at most.

--- /dev/null
+++ b/fleet/src/chance.rs
@@ -0,0 +1,13 @@
+//! Numbers that look like chance and are the same at every router.
+
+/// Mixes the bits of a number, so that like numbers give unlike ones (the finalizer of SplitMix64).
+pub fn mix(mut x: u64) -> u64 {
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
+
+/// A number from 0 to 1.
+pub fn fraction(x: u64) -> f64 {
+    mix(x) as f64 / u64::MAX as f64
+}
--- /dev/null
+++ b/fleet/src/cold.rs
@@ -0,0 +1,134 @@
+//! Which cold servers a request may use, and how often one router sends there. A server that starts can do little, and
+//! falls over when all routers together send it more than a multiple of that. No router sees what the others send.
+//!
+//! Two bounds hold the sum. Each request *draws*: the first few servers in a rendezvous order weighted by warmth, the
+//! same at all routers, so that a cold server gets its part of all requests times the number drawn. And each router
+//! has a [`Purse`] for all cold servers of a role, filled at its part of what they may be sent together: that holds
+//! where the servers that are left are nearly all cold. A purse for each server would not do: of a hundred routers with
+//! a request a second each, the one that has a request is hardly ever one that has something left for its server.
+
+use crate::chance::{fraction, mix};
+
+/// Part of a cold server's budget that is used up: what warm servers do is an estimate.
+pub const USE: f64 = 0.8;
+/// All routers together send a cold server at least so many requests while it warms: while nobody has an answer yet,
+/// somebody has to be first.
+pub const LEAST: f64 = 3.0;
+
+/// What is known of servers that start, the same for all of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Cold {
+    /// A server starts at this part of its capacity or above; over 0, 1 at most.
+    pub share: f64,
+    /// It is warm after so many seconds at the latest.
+    pub warm_after: f64,
+    /// It falls over when it is sent more than this multiple of what it can do.
+    pub multiple: f64,
+    /// Routers in all.
+    pub routers: u32,
+}
+
+impl Cold {
+    /// What a server of this age, in seconds, can do at least, in parts of what it can do warm.
+    pub fn warmth(&self, age: f64) -> f64 {
+        let part = if self.warm_after > 0.0 { (age / self.warm_after).clamp(0.0, 1.0) } else { 1.0 };
+        self.share + (1.0 - self.share) * part
+    }
+
+    /// For each of these servers (a number and its warmth) whether a request with this key may use it: a warm one
+    /// always, a cold one if it is drawn and `paid` for. At least one is drawn. One pass for each draw, over `among`.
+    pub fn draw(&self, key: u64, among: &[(u64, f64)], paid: bool) -> Vec<bool> {
+        let mut open: Vec<bool> = among.iter().map(|(_, warmth)| *warmth >= 1.0).collect();
+        if !paid || open.iter().all(|warm| *warm) {
+            return open;
+        }
+        let mean = among.iter().map(|(_, warmth)| warmth).sum::<f64>() / among.len() as f64;
+        let draws = ((USE * self.multiple * mean).max(1.0) + fraction(key)) as usize;
+        let wait = |(id, warmth): &(u64, f64)| -fraction(mix(key) ^ id).ln() / warmth;
+        let mut last = f64::NEG_INFINITY;
+        for _ in 0..draws.min(among.len()) {
+            let next = among.iter().enumerate().map(|(place, server)| (place, wait(server)));
+            let next = next.filter(|(_, wait)| *wait > last).min_by(|a, b| a.1.total_cmp(&b.1));
+            let Some((place, wait)) = next else { break };
+            (open[place], last) = (true, wait);
+        }
+        open
+    }
+
+    /// Requests a second that all routers together may send to a server of this warmth, where a warm one answers
+    /// `rate` a second.
+    pub fn pace(&self, warmth: f64, rate: f64) -> f64 {
+        (rate * warmth * self.multiple * USE).max(LEAST / self.warm_after.max(1.0))
+    }
+}
+
+/// What one router may still send to the cold servers of a role. Holds one request at least when full: a router that
+/// meets a cold server seldom must be able to send it one.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Purse {
+    left: f64,
+    at: f64,
+}
+
+impl Purse {
+    /// What is in it by now (seconds), in requests, where all routers may send `pace` a second.
+    pub fn holds(&self, now: f64, pace: f64, routers: u32) -> f64 {
+        (self.left + (now - self.at).max(0.0) * pace / f64::from(routers.max(1))).min(most(pace, routers))
+    }
+
+    /// One request is sent.
+    pub fn spend(&mut self, now: f64, pace: f64, routers: u32) {
+        (self.left, self.at) = ((self.holds(now, pace, routers) - 1.0).max(0.0), now);
+    }
+}
+
+/// A request, or what a router may send in half a second where that is more.
+fn most(pace: f64, routers: u32) -> f64 {
+    (pace / f64::from(routers.max(1)) / 2.0).max(1.0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const COLD: Cold = Cold { share: 0.32, warm_after: 14.0, multiple: 4.0, routers: 100 };
+
+    /// 18 warm servers and two cold ones: how many of 20,000 keys draw each cold one.
+    #[test]
+    fn a_cold_server_is_drawn_for_its_part_times_the_draws() {
+        let among: Vec<(u64, f64)> = (0..20).map(|n| (mix(n + 1), if n < 18 { 1.0 } else { 0.32 })).collect();
+        let total: f64 = among.iter().map(|(_, warmth)| warmth).sum();
+        let draws = USE * 4.0 * total / 20.0 + 0.5;
+        for place in [18, 19] {
+            let drawn = (0..20_000u64).filter(|key| COLD.draw(mix(*key), &among, true)[place]).count() as f64;
+            let part = drawn / 20_000.0 / (0.32 / total) / draws;
+            assert!((0.8..1.2).contains(&part), "{part} of what it should");
+        }
+    }
+
+    #[test]
+    fn all_cold_leaves_one_and_warm_ones_are_always_open() {
+        let cold: Vec<(u64, f64)> = (0..5).map(|n| (mix(n + 1), 0.32)).collect();
+        assert!((0..1_000).all(|key| COLD.draw(key, &cold, true).contains(&true)));
+        assert_eq!(COLD.draw(7, &[(1, 1.0), (2, 1.0)], true), [true, true]);
+        assert!(COLD.draw(7, &[], true).is_empty());
+        assert_eq!(COLD.draw(7, &[(1, 1.0), (2, 0.4)], false), [true, false], "not paid for");
+    }
+
+    #[test]
+    fn purses_of_all_routers_keep_to_the_pace() {
+        let (pace, mut sent) = (COLD.pace(0.32, 10.0), 0);
+        let (cold, routers) = (20.0 * pace, 100);
+        let mut purses = vec![Purse::default(); 100];
+        for step in 0..300 {
+            let now = f64::from(step) * 0.01;
+            for purse in purses.iter_mut().filter(|purse| purse.holds(now, cold, routers) >= 1.0) {
+                purse.spend(now, cold, routers);
+                sent += 1;
+            }
+        }
+        assert!(f64::from(sent) <= 3.0 * 0.32 * 4.0 * 10.0 * 20.0, "{sent} in 3 s at 20 cold servers");
+        assert!(sent > 200, "{sent}: they are used");
+        assert!(purses[0].holds(1e6, cold, routers) < 2.0, "what is not spent does not pile up");
+    }
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,3 +4,6 @@
 #![warn(missing_docs)]
 
 pub mod calls;
+pub mod chance;
+pub mod cold;
+pub mod popular;
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -148,6 +148,8 @@
     /// How long it waited for its first attempt, and until its prompt was read.
     sent: Option<Duration>,
     read: Option<Duration>,
+    /// Prompt tokens that its reader found kept.
+    kept: Option<f64>,
     /// How long its first event took.
     first: Option<Duration>,
     /// The last reader and the last other server that it was sent to.
@@ -387,7 +389,8 @@
                 let known = list.get(&member.server).filter(|known| known.address == entry.address);
                 let server = known.cloned().unwrap_or_else(|| {
                     if member.up_since.is_some() {
-                        let role = if self.roles[member.kind.0] == Role::Reader { "reader" } else { "writer" };
+                        let role =
+                            if self.roles[member.kind.0] == Role::Reader { "reader" } else { "writer" };
                         log!("list new server={} role={role} up_since_ms={}", entry.id, entry.up_since_ms);
                     }
                     Rc::new(Server {
@@ -508,6 +511,7 @@
             owed: None,
             sent: None,
             read: None,
+            kept: None,
             first: None,
             route: [None, None],
             started: false,
@@ -572,6 +576,7 @@
             owed: None,
             sent: None,
             read: None,
+            kept: None,
             first: None,
             route: [None, None],
             started: true,
@@ -662,6 +667,7 @@
             if verdict == Verdict::Read {
                 open.reader = Some(server.clone());
                 open.read = Some(open.exchange.call.arrived.elapsed());
+                open.kept = ended.kept;
             } else if reads && ended.written && verdict != Verdict::Full {
                 // The read may have ended well at the very moment its connection ended.
                 open.owed = Some(server.clone());
@@ -738,7 +744,7 @@
             }
         }
         log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} reader={} writer={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} kept={} reader={} writer={}",
             call.label,
             self.class_name(call.class),
             outcome,
@@ -748,6 +754,7 @@
             ms(open.read),
             call.arrived.elapsed().as_millis(),
             call.prompt_len,
+            open.kept.map_or_else(|| "-".to_owned(), |kept| kept.to_string()),
             label(&open.route[0]),
             label(&open.route[1])
         );
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! Mixed servers take their own share whole. `docs/design.md` says where and when each departure acts.
 
 use crate::interface::*;
+use fawnstream_fleet::{chance::fraction, chance::mix, cold::Cold, cold::Purse, popular::Popular};
 use std::collections::BTreeMap;
 
 /// A kept text is believed in for this long (the design's default).
@@ -13,8 +14,6 @@
 /// sessions stay put; or so many for each reader's part that it has of own requests, where that is more.
 const HOMES: f64 = 8.0;
 const HOT_HOMES: f64 = 2.0;
-/// As if so many other requests had come before: a part of the first few says little.
-const FEW: f64 = 8.0;
 /// Bounds of a reader's weight as a home: readers can do more than the writers, but not at will.
 const LEAST_HOME: f64 = 0.6;
 const MOST_HOME: f64 = 1.3;
@@ -78,8 +77,6 @@
 /// First exclusion of a silent or unreachable server; doubles up to the longest while it stays so.
 const FIRST_OUT: Span = Span::from_millis(1_500);
 const LONGEST_OUT: Span = Span::from_millis(6_000);
-/// Part of a cold server's budget that draws may use up: what all routers are asked for is an estimate.
-const COLD_USE: f64 = 0.8;
 /// How heavily what our reads still have to read at a reader weighs, in parts of the prompt: no report knows
 /// of it yet. Guards against piling reads up at one; more would read too much anew under overload.
 const BACKLOG: f64 = 0.3;
@@ -93,8 +90,7 @@
 const PROBE_EVERY: Span = Span::from_millis(700);
 /// Probes for each read at most: they are paid for.
 const PROBES: usize = 4;
-/// So many texts are remembered at once, of each server and as popular ones; a full table takes no new ones.
-/// Guards against growing with the keys that clients make up.
+/// Texts remembered of each server and as popular ones, so that keys that clients make up fill no memory.
 const MOST_TEXTS: usize = 4_096;
 /// Kept counts under this share of the belief mean that the server forgot: its table is dropped.
 const VOID_SHARE: f64 = 0.5;
@@ -178,11 +174,16 @@
 pub struct Router {
     settings: Settings,
     seed: u64,
+    cold: Cold,
+    /// What may be sent to the cold servers of each role.
+    purses: [Purse; 3],
     servers: BTreeMap<ServerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
     waiting: Vec<RequestId>,
-    /// Requests seen of late for each beginning, and when that was so; `None` counts them all.
-    popular: BTreeMap<Option<Key>, (f64, Time)>,
+    /// Requests seen of late for each beginning.
+    popular: Popular,
+    /// The most servers of each role that were ever listed at once.
+    most: [usize; 3],
     /// Token buckets of the tenants' shares: what is left, and when that was so.
     tenants: Vec<(f64, Time)>,
     pools: [Pool; 3],
@@ -195,17 +196,6 @@
     now: Time,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    x ^ (x >> 31)
-}
-
-/// A number from 0 to 1 that looks like chance.
-fn fraction(x: u64) -> f64 {
-    mix(x) as f64 / u64::MAX as f64
-}
-
 fn blend(old: f64, new: f64, weight: f64) -> f64 {
     old + weight * (new - old)
 }
@@ -236,8 +226,7 @@
     fn new(member: &Member, kind: &Kind) -> Self {
         let told = kind.memory_tokens.filter(|m| *m > 0.0).unwrap_or(UNTOLD_MEMORY);
         let memory = if kind.role == Role::Mixed { told * MIXED_ROOM } else { told };
-        let member = member.clone();
-        Server { member, role: kind.role, memory, out_span: FIRST_OUT, ..Server::default() }
+        Server { member: member.clone(), role: kind.role, memory, out_span: FIRST_OUT, ..Server::default() }
     }
 
     fn listed(&self) -> bool {
@@ -284,15 +273,19 @@
     /// A router that knows nothing yet; `seed` is its only source of chance.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
-        let tenants = vec![(0.0, Time(0)); settings.tenants.len()];
+        let Rules { cold_share: share, cold, fall_multiple: multiple, .. } = settings.rules;
+        let cold = Cold { share, warm_after: cold.secs(), multiple, routers: settings.routers };
         Ok(Router {
+            tenants: vec![(0.0, Time(0)); settings.tenants.len()],
             settings,
             seed,
+            cold,
+            purses: Default::default(),
             servers: BTreeMap::new(),
             jobs: BTreeMap::new(),
             waiting: Vec::new(),
-            popular: BTreeMap::new(),
-            tenants,
+            popular: Popular::new(KEPT_FOR.secs(), MOST_TEXTS),
+            most: [0; 3],
             pools: Default::default(),
             limits: [1.0; 2],
             born: None,
@@ -367,12 +360,15 @@
             Members::Changes(entries) => entries.iter().for_each(|entry| self.list(entry)),
         }
         self.forget_left();
+        for role in [Role::Reader, Role::Writer, Role::Mixed] {
+            let listed = self.servers.values().filter(|s| s.role == role && s.listed()).count();
+            self.most[role as usize] = self.most[role as usize].max(listed);
+        }
         self.list_wait = LIST_RETRY;
         self.open_gate(out);
     }
 
-    /// A server that left is forgotten once nothing of ours is out there. Guards against growing with each
-    /// server that ever was, where new ones come under new ids.
+    /// Forgets servers that left once nothing of ours is out there. Guards against growing with each new id.
     fn forget_left(&mut self) {
         self.servers.retain(|_, server| server.member.state != ServerState::Left || server.attempts > 0);
     }
@@ -402,14 +398,7 @@
         let Some(class) = self.settings.classes.get(ask.class.0) else {
             return out.push(Action::Refuse { request: ask.id, backoff: None });
         };
-        self.popular.retain(|_, (_, at)| self.now - *at <= KEPT_FOR);
-        for key in [None, ask.prefix] {
-            if self.popular.len() >= MOST_TEXTS && !self.popular.contains_key(&key) {
-                continue;
-            }
-            let (count, at) = self.popular.entry(key).or_insert((0.0, self.now));
-            (*count, *at) = (halved(*count, self.now - *at, KEPT_FOR) + 1.0, self.now);
-        }
+        self.popular.note((self.now - Time(0)).secs(), ask.prefix.map(|key| key.0));
         let (id, aim) = (ask.id, class.aim + class.aim_per_1000.times(ask.prompt_len / 1000.0));
         let (arrived, deadline, mut worth) = (self.now, self.now + ask.budget, class.worth);
         if self.over_share(ask.tenant) {
@@ -494,7 +483,8 @@
         let (reads, one) = (server.role == Role::Reader, unit(server.role, &job.ask));
         let (used, start) = self.out_and_start(reads);
         let near = used > NEAR_LIMIT * self.limit(reads, start, one);
-        let step = one * f64::from(self.settings.routers) / start;
+        // One answer of the few that one of many routers has tells little.
+        let step = (one * f64::from(self.settings.routers) / start).min(EWMA);
         let limit = &mut self.limits[usize::from(!reads)];
         if late {
             *limit = (*limit - step).max(LIMIT_FLOOR);
@@ -505,44 +495,47 @@
 
     // Choices.
 
-    /// Servers of a role that may be used.
+    /// Servers of a role that may be used; of cold ones those that the request draws, while this router's
+    /// purse has something for them. Guards against falling over while cold and rush-back after drains or
+    /// mass restarts, however many routers there are.
     fn candidates(&self, role: Role, job: &Job) -> Vec<(ServerId, &Server)> {
-        let usable = |(id, s): &(&ServerId, &Server)| {
-            s.role == role && s.usable(self.now) && !job.failed.contains(id)
-        };
+        let usable =
+            |(id, s): &(&ServerId, &Server)| s.role == role && s.usable(self.now) && !job.failed.contains(id);
         let mut all: Vec<_> = self.servers.iter().filter(usable).map(|(id, s)| (*id, s)).collect();
-        self.draw(job, &mut all);
+        let among: Vec<(u64, f64)> = all.iter().map(|(id, s)| (id.0, self.warmth(s))).collect();
+        if among.iter().all(|(_, warmth)| *warmth >= 1.0) {
+            return all;
+        }
+        // Sessions of a beginning draw alike while some are warm, so that a cold server reads few of them
+        // anew; but no more together than half of one server's even part of all requests.
+        let warm = among.iter().any(|(_, warmth)| *warmth >= 1.0);
+        let session = mix(job.ask.session.map_or(job.ask.id.0, |key| key.0));
+        let groups = ((self.part(job) * 2.0 * all.len() as f64) as u64).max(1).next_power_of_two();
+        let held = self.purses[role as usize].holds(self.secs(), self.pace(role), self.settings.routers);
+        let key = job.ask.prefix.filter(|_| warm).map_or(session, |key| key.0 ^ (session & (groups - 1)));
+        let mut open = self.cold.draw(key, &among, held >= 1.0).into_iter();
+        all.retain(|_| open.next().unwrap_or(false));
         all
     }
 
-    /// How much a server can do of what it will when warm, at least.
+    fn secs(&self) -> f64 {
+        (self.now - Time(0)).secs()
+    }
+
+    /// What a server can do of what it will when warm, at least.
     fn warmth(&self, server: &Server) -> f64 {
-        let rules = &self.settings.rules;
-        let age = server.member.up_since.map_or(rules.cold, |up| self.now - up);
-        let part = (age.secs() / rules.cold.secs().max(1e-9)).clamp(0.0, 1.0);
-        blend(rules.cold_share, 1.0, part)
+        server.member.up_since.map_or(1.0, |up| self.cold.warmth((self.now - up).secs()))
     }
 
-    /// Leaves a request those cold servers that it draws: the first few in an order of its own, weighted by warmth.
-    /// A cold server so gets its part of all requests times the number drawn, whatever the routers see of it and
-    /// however many there are. Guards against falling over while cold and rush-back after drains or mass restarts.
-    fn draw(&self, job: &Job, all: &mut Vec<(ServerId, &Server)>) {
-        let warmth: Vec<f64> = all.iter().map(|(_, s)| self.warmth(s)).collect();
-        if warmth.iter().all(|warmth| *warmth >= 1.0) {
-            return;
-        }
-        let key = mix(job.ask.prefix.or(job.ask.session).map_or(job.ask.id.0, |key| key.0));
-        let mean = warmth.iter().sum::<f64>() / warmth.len() as f64;
-        let drawn = (COLD_USE * self.settings.rules.fall_multiple * mean).max(1.0) + fraction(key);
-        let wait = |place: usize| -fraction(key ^ all[place].0.0).ln() / warmth[place];
-        let mut order: Vec<usize> = (0..all.len()).collect();
-        order.sort_by(|a, b| wait(*a).total_cmp(&wait(*b)));
-        order.truncate(drawn as usize);
-        let mut place = 0;
-        all.retain(|_| {
-            place += 1;
-            warmth[place - 1] >= 1.0 || order.contains(&(place - 1))
-        });
+    /// Requests a second that all routers together may send to cold servers of a role. A warm one does its
+    /// part of the customers' shares, or of what was answered so far, at least.
+    fn pace(&self, role: Role) -> f64 {
+        let life = (self.now - self.born.unwrap_or(self.now)).secs().max(1.0);
+        let answers = self.pools[role as usize].answers * f64::from(self.settings.routers) / life;
+        let shares = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s).sum::<f64>();
+        let rate = answers.max(shares) / self.most[role as usize].max(1) as f64;
+        let peers = self.servers.values().filter(|s| s.role == role && s.listed()).map(|s| self.warmth(s));
+        peers.filter(|warmth| *warmth < 1.0).map(|warmth| self.cold.pace(warmth, rate)).sum()
     }
 
     /// What the servers of a role report on the mean, fresh reports most. Reckoned once for a choice.
@@ -582,14 +575,17 @@
         Some((id, self.servers[&id].believed(&job.ask, self.now, homes.contains(&id))))
     }
 
+    /// The part of this router's requests of late that begin as this one does; the first few say little.
+    fn part(&self, job: &Job) -> f64 {
+        job.ask.prefix.map_or(0.0, |key| self.popular.part(self.secs(), key.0))
+    }
+
     /// The servers that count as holding a request's beginning: the first in its rendezvous order, more of
     /// the larger its part of the requests. All routers agree on the order and on which of them a session's
     /// hash picks. Guards against a hot beginning at one home; where chance makes a part look large at one
     /// router only, some sessions are read anew.
     fn homes(&self, job: &Job, among: &[(ServerId, &Server)]) -> Vec<ServerId> {
         let Some(key) = job.ask.prefix else { return Vec::new() };
-        let seen = |key| self.popular.get(&key).map_or(0.0, |(n, at)| halved(*n, self.now - *at, KEPT_FOR));
-        let part = seen(Some(key)) / (seen(None) + FEW);
         let mut order: Vec<ServerId> = among.iter().map(|(id, _)| *id).collect();
         let cells = self.cells();
         let weight = |id: &ServerId| {
@@ -599,7 +595,7 @@
         };
         let wait = |id: &ServerId| -fraction(mix(key.0) ^ id.0).ln() / weight(id);
         order.sort_by(|a, b| wait(a).total_cmp(&wait(b)));
-        order.truncate(1 + ((part * HOT_HOMES).max(1.0 / HOMES) * among.len() as f64) as usize);
+        order.truncate(1 + ((self.part(job) * HOT_HOMES).max(1.0 / HOMES) * among.len() as f64) as usize);
         order
     }
 
@@ -693,8 +689,7 @@
         }
     }
 
-    /// Leans a session to mixed servers or away, by its hash and their part of all servers, at all routers
-    /// so its texts stay in one place though requests come by several.
+    /// Leans a session to mixed servers or away, at all routers alike, so that its texts stay in one place.
     fn leaning(&self, job: &Job) -> f64 {
         let listed = || self.servers.values().filter(|s| s.listed());
         let mixed = listed().filter(|s| s.role == Role::Mixed).count() as f64;
@@ -738,6 +733,11 @@
     }
 
     fn send(&mut self, id: RequestId, to: ServerId, stage: Stage, out: &mut Vec<Action>) {
+        let role = self.servers[&to].role;
+        if self.warmth(&self.servers[&to]) < 1.0 {
+            let (now, pace) = (self.secs(), self.pace(role));
+            self.purses[role as usize].spend(now, pace, self.settings.routers);
+        }
         let (Some(job), Some(server)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
         job.patience = usual.max(job.aim.times(PATIENCE_AIM));
