--- a/src/logic.rs
+++ b/src/logic.rs
@@ -484,7 +484,7 @@
         let (used, start) = self.out_and_start(reads);
         let near = used > NEAR_LIMIT * self.limit(reads, start, one);
         // One answer of the few that one of many routers has tells little.
-        let step = (one * f64::from(self.settings.routers) / start).min(EWMA);
+        let step = (one * f64::from(self.settings.routers) / start).min(FAULT_EWMA);
         let limit = &mut self.limits[usize::from(!reads)];
         if late {
             *limit = (*limit - step).max(LIMIT_FLOOR);
