--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -744,7 +744,7 @@
             }
         }
         log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} kept={} reader={} writer={}",
+            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} kept={} out={} reader={} writer={}",
             call.label,
             self.class_name(call.class),
             outcome,
@@ -755,6 +755,7 @@
             call.arrived.elapsed().as_millis(),
             call.prompt_len,
             open.kept.map_or_else(|| "-".to_owned(), |kept| kept.to_string()),
+            tokens.map_or_else(|| "-".to_owned(), |used| used.written.to_string()),
             label(&open.route[0]),
             label(&open.route[1])
         );
