--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -13,6 +13,11 @@
 
 /// A router with so many servers and so many open requests.
 fn full(servers: u64, open: u64) -> (Router, Vec<Action>) {
+    started(servers, open, 0)
+}
+
+/// The same with so many in ten servers cold all the while.
+fn started(servers: u64, open: u64, cold: u64) -> (Router, Vec<Action>) {
     let mut told = settings(Effect::Safe);
     told.routers = 1;
     (told.classes[0].aim, told.classes[0].aim_per_1000) = (Span::from_millis(60_000), Span::default());
@@ -20,6 +25,7 @@
         server: ServerId(server),
         kind: KindId((server % 2) as usize),
         cell: CellId(server / 10),
+        up_since: (server % 10 < cold).then_some(Time(1)),
         ..Member::default()
     };
     let (mut router, mut out) = (Router::new(told, 7).expect("settings are valid"), Vec::new());
@@ -66,7 +72,7 @@
 }
 
 /// A request comes, is placed or waits, and its client leaves.
-#[divan::bench(args = [(10, 100), (100, 1_000), (1_000, 1_000), (1_000, 10_000)], sample_count = 20)]
+#[divan::bench(args = [(10, 100), (60, 600), (100, 1_000), (1_000, 1_000), (1_000, 10_000)], sample_count = 20)]
 fn one_request(bencher: divan::Bencher, (servers, open): (u64, u64)) {
     let ((mut router, mut out), mut id) = (full(servers, open), open);
     bencher.bench_local(move || {
@@ -76,6 +82,17 @@
     });
 }
 
+/// The same while six in ten servers are cold.
+#[divan::bench(args = [(60, 600), (1_000, 10_000)], sample_count = 20)]
+fn one_request_among_cold(bencher: divan::Bencher, (servers, open): (u64, u64)) {
+    let ((mut router, mut out), mut id) = (started(servers, open, 6), open);
+    bencher.bench_local(move || {
+        id += 1;
+        ask(&mut router, id, &mut out);
+        router.handle(Time(1_000 + id), Event::Gone(RequestId(id)), &mut out);
+    });
+}
+
 /// A server for one more long-lived connection.
 #[divan::bench(args = [(10, 100), (100, 1_000), (1_000, 10_000)], sample_count = 20)]
 fn one_connection(bencher: divan::Bencher, (servers, open): (u64, u64)) {
