Let go of a read state in time when connections to writers do not come up

At fault: `again` in src/logic.rs, which sends to the next writer however long the state waits already, and `run` in router/src/servers.rs, where nothing but the connect time-out bounds the wait for a connection.

Change: the core notes since when a state waits with no attempt out; an attempt whose last byte is not written within `extra.release_within` of that ends as `Expired`. The module lets the state go then and has the prompt read again, or refuses.

Open: the release still waits for the read that follows at once; the owner of holds comes next.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -10,6 +10,7 @@
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
 use shedrelay::*;
+use shedrelay_settings::Links;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -51,6 +52,8 @@
     pub until: Instant,
     /// The client's deadline, told to the server.
     pub deadline: Instant,
+    /// When what is held for the request has to be let go, unless its last byte is written by then.
+    pub expires: Option<Instant>,
     /// Ends the attempt early.
     pub stop: oneshot::Receiver<()>,
 }
@@ -143,6 +146,9 @@
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
     /// The last reader that may hold a state.
     reader: Option<Rc<Server>>,
+    /// Since when that state waits with no attempt out. Guards against connections that do not come up, one
+    /// after the other, while the rule's clock runs.
+    waits: Option<Instant>,
     /// Where something may be held that has to be let go of once no attempt is out.
     owed: Option<Rc<Server>>,
     /// How long it waited for its first attempt, and until its prompt was read.
@@ -181,6 +187,8 @@
 pub struct Core {
     router: RefCell<Router>,
     names: shedrelay_settings::Names,
+    /// How long anything may be held while no attempt is out.
+    release_within: Duration,
     roles: Vec<Role>,
     open: RefCell<HashMap<RequestId, Open>>,
     labels: RefCell<HashMap<String, RequestId>>,
@@ -206,6 +214,7 @@
     pub fn new(
         settings: Settings,
         names: shedrelay_settings::Names,
+        links: Links,
         seed: u64,
         usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
@@ -221,6 +230,7 @@
         Ok(Rc::new_cyclic(|me| Core {
             router: RefCell::new(router),
             names,
+            release_within: Duration::from_nanos(links.release_within.0),
             roles,
             open: RefCell::default(),
             labels: RefCell::default(),
@@ -508,6 +518,7 @@
             attempts: 0,
             current: None,
             reader: None,
+            waits: None,
             owed: None,
             sent: None,
             read: None,
@@ -573,6 +584,7 @@
             attempts: 1,
             current: Some((server.clone(), Some(stop))),
             reader: None,
+            waits: None,
             owed: None,
             sent: None,
             read: None,
@@ -589,7 +601,16 @@
         self.open.borrow_mut().insert(request, open);
         let end = self.client_again(request, &exchange);
         let attempt = Attempt(0);
-        let order = Order { exchange, request, attempt, server, until: now, deadline: now, stop: stopped };
+        let order = Order {
+            exchange,
+            request,
+            attempt,
+            server,
+            until: now,
+            deadline: now,
+            expires: None,
+            stop: stopped,
+        };
         Some((order, end))
     }
 
@@ -664,6 +685,9 @@
             let Some(open) = all.get_mut(&request) else { return };
             let Some((server, _)) = open.current.take() else { return };
             let reads = server.role == Role::Reader;
+            if ended.written {
+                open.waits = Some(Instant::now());
+            }
             if verdict == Verdict::Read {
                 open.reader = Some(server.clone());
                 open.read = Some(open.exchange.call.arrived.elapsed());
@@ -889,6 +913,7 @@
             server,
             until: wait.min(open.deadline),
             deadline: open.deadline,
+            expires: open.reader.as_ref().and(open.waits).map(|since| since + self.release_within),
             stop: stopped,
         };
         drop(all);
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -114,7 +114,7 @@
         None => None,
     };
     let calls = fawnstream_fleet::calls::Calls::new(config.settings.routers, config.seed);
-    let core = core::Core::new(config.settings, config.names, config.seed, usage.clone())?;
+    let core = core::Core::new(config.settings, config.names, config.links, config.seed, usage.clone())?;
     let inherits = inherited.is_some();
     let handover = handover::Handover::new(inherits);
     let fleet = servers::Fleet::new(core.clone(), config.links, config.server_sockets, handover.clone());
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -442,6 +442,7 @@
         () = actix_rt::time::sleep_until(until.into()) => {
             return Some(cut(&lane, Verdict::Timeout, "timed-out"));
         }
+        () = expired(order.expires, &lane) => return Some(cut(&lane, Verdict::Expired, "expired")),
     };
     let mut answer = match answer {
         Ok(answer) => answer,
@@ -523,6 +524,16 @@
     if server.role == Role::Reader { Verdict::Error } else { Verdict::Spoilt }
 }
 
+/// Waits until what is held for an attempt has to be let go; for ever once its last byte is written.
+async fn expired(at: Option<Instant>, lane: &Lane) {
+    if let Some(at) = at {
+        actix_rt::time::sleep_until(at.into()).await;
+    }
+    if at.is_none() || lane.written() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Has it run? The protocol's table, for attempts that got no answer's head.
 fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, &'static str) {
     match error {
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -90,6 +90,8 @@
     /// What two processes share. A short path: that of a Unix socket is no longer than 107 bytes.
     shared: PathBuf,
     listeners: HashMap<String, TcpListener>,
+    /// Connections that take all places where a server listens.
+    fillers: Vec<TcpStream>,
     peers: HashMap<String, Peer>,
     folder: PathBuf,
     within: Option<Instant>,
@@ -105,7 +107,7 @@
         let (running, other) = Default::default();
         let door = TcpListener::bind("127.0.0.1:0").unwrap();
         let shared = std::env::temp_dir().join(format!("fawnstream-{}-{name}", std::process::id()));
-        Stage { running, other, door, shared, listeners, peers, folder, within: None }
+        Stage { running, other, door, shared, listeners, fillers: Vec::new(), peers, folder, within: None }
     }
 
     /// Fills in the addresses of servers.
@@ -299,6 +301,14 @@
             }
             "close" => drop(self.peers.remove(rest)),
             "shut" => drop(self.listeners.remove(rest)),
+            // Connections to it never come up, as to a machine that was cut off.
+            "deaf" => {
+                let listener = &self.listeners[rest];
+                let (address, socket) = (listener.local_addr().unwrap(), socket2::SockRef::from(listener));
+                socket.listen(0).unwrap();
+                let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
+                self.fillers.extend(std::iter::from_fn(|| fill().ok()));
+            }
             "pause" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
             "term" | "hup" => {
                 let id = self.running.program.as_ref().unwrap().id().to_string();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -25,6 +25,8 @@
     pub idle: Span,
     /// A connection that is not up by then has failed.
     pub connect: Span,
+    /// What is held for a request with no attempt out is taken or let go of in this time.
+    pub release_within: Span,
     /// The longest time for which a client waits; none where no class tells it.
     pub longest_wait: Option<Span>,
 }
@@ -86,6 +88,8 @@
     kv_tokens: Vec<f64>,
     #[serde(default)]
     local_read: bool,
+    #[serde(default = "usual_release")]
+    release_within: u64,
 }
 
 #[derive(Deserialize)]
@@ -113,6 +117,10 @@
     15_000_000_000
 }
 
+fn usual_release() -> u64 {
+    500_000_000
+}
+
 fn usual_connect() -> u64 {
     250_000_000
 }
@@ -144,6 +152,7 @@
         Links {
             idle: Span(self.ceilings.conn_idle),
             connect: Span(self.ceilings.connect_timeout),
+            release_within: Span(self.extra.release_within),
             longest_wait: self.classes.iter().filter_map(|class| class.give_up).max().map(Span),
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -337,6 +337,16 @@
     Cancelled,
     /// Never sent.
     Moot,
+    /// What was held for it had to be let go before its connection came up; it never ran.
+    Expired,
+}
+
+impl Verdict {
+    /// The attempt proves that nothing ran at its server, or ran to no effect.
+    pub fn never_ran(self) -> bool {
+        use Verdict::{Expired, Full, Moot, NoRoute, NoState, Read};
+        matches!(self, Full | NoState | NoRoute | Moot | Read | Expired)
+    }
 }
 
 /// A server's report of its load.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -214,10 +214,6 @@
     if role == Role::Reader { 1.0 } else { size(ask) }
 }
 
-fn never_ran(verdict: Verdict) -> bool {
-    matches!(verdict, Verdict::Full | Verdict::NoState | Verdict::NoRoute | Verdict::Moot | Verdict::Read)
-}
-
 fn best(scored: impl Iterator<Item = (ServerId, f64)>) -> Option<(ServerId, f64)> {
     scored.max_by(|a, b| a.1.total_cmp(&b.1))
 }
@@ -807,7 +803,7 @@
         self.judge(id, at, verdict, kept);
         self.forget_left();
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !was_read && !never_ran(verdict) && job.ran.is_none() {
+        if !was_read && !verdict.never_ran() && job.ran.is_none() {
             job.ran = Some((at, job.sent));
         }
         job.held |= verdict == Verdict::Read;
@@ -861,7 +857,7 @@
                 }
             }
             Verdict::NoRoute => self.shut_out(at),
-            Verdict::Closed | Verdict::Moot => {}
+            Verdict::Closed | Verdict::Moot | Verdict::Expired => {}
         }
     }
 
@@ -886,6 +882,7 @@
     fn again(&mut self, id: RequestId, at: ServerId, verdict: Verdict, read: bool, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let effect = self.settings.classes[job.ask.class.0].effect;
+        let gone = matches!(verdict, Verdict::NoState | Verdict::Spoilt | Verdict::Expired);
         let repeatable = job.ran.is_none() || effect != Effect::Unsafe;
         if !matches!(verdict, Verdict::NoState | Verdict::Full) {
             job.failed.push(at);
@@ -893,7 +890,7 @@
         let spent = job.attempts >= self.settings.max_attempts || self.now + ANSWER_MARGIN >= job.deadline;
         if !repeatable || spent || verdict == Verdict::Moot {
             self.finish(id, out);
-        } else if job.held && !read && !matches!(verdict, Verdict::NoState | Verdict::Spoilt) {
+        } else if job.held && !read && !gone {
             self.write(id, out);
         } else {
             if job.held {
