--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod chance;
 pub mod cold;
 pub mod popular;
+pub mod reach;
--- /dev/null
+++ b/fleet/src/reach.rs
@@ -0,0 +1,205 @@
+//! Which servers one router can reach, as far as it knows from its own few connections: what failed or answered there,
+//! and in the same zone, of late. Zones are cut off whole, and a router meets most servers of one seldom.
+
+use crate::chance::mix;
+use std::collections::{HashMap, VecDeque};
+use std::time::Duration;
+
+/// A failure or an answer loses half its weight in this time: a cut is noticed, and its end.
+const HALF: Duration = Duration::from_millis(2_000);
+/// As if so many answers had come from a zone before: one failure says little of its other servers.
+const FEW: f64 = 2.0;
+/// Servers drawn for a choice, and answering ones that are remembered for it. With a third of all out of reach one
+/// choice of 6,000 finds none that is in reach, and no choice costs a walk over the list.
+const DRAWN: u64 = 8;
+const RECENT: usize = 8;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Count {
+    good: f64,
+    bad: f64,
+    at: Duration,
+}
+
+impl Count {
+    fn fade(&mut self, now: Duration) {
+        let left = 0.5f64.powf(now.saturating_sub(self.at).as_secs_f64() / HALF.as_secs_f64());
+        (self.good, self.bad, self.at) = (self.good * left, self.bad * left, now);
+    }
+}
+
+#[derive(Debug)]
+struct Server {
+    id: u64,
+    zone: usize,
+    heard: Option<Duration>,
+    failed: Option<Duration>,
+}
+
+/// What is believed of all servers. Bounded by the list: who leaves it is forgotten.
+#[derive(Debug, Default)]
+pub struct Reach {
+    servers: Vec<Server>,
+    places: HashMap<u64, usize>,
+    zones: HashMap<usize, Count>,
+    recent: VecDeque<u64>,
+}
+
+impl Reach {
+    /// A server is listed. One that is known already stays as it is, but for its zone.
+    pub fn join(&mut self, id: u64, zone: usize) {
+        match self.places.get(&id) {
+            Some(place) => self.servers[*place].zone = zone,
+            None => {
+                self.places.insert(id, self.servers.len());
+                self.servers.push(Server { id, zone, heard: None, failed: None });
+            }
+        }
+    }
+
+    /// A server is listed no more, or takes nothing new.
+    pub fn leave(&mut self, id: u64) {
+        let Some(place) = self.places.remove(&id) else { return };
+        self.servers.swap_remove(place);
+        if let Some(moved) = self.servers.get(place) {
+            self.places.insert(moved.id, place);
+        }
+        self.recent.retain(|recent| *recent != id);
+    }
+
+    /// Servers known.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// No server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    /// A server answered something.
+    pub fn heard(&mut self, id: u64, now: Duration) {
+        let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
+        server.heard = Some(now);
+        let zone = self.zones.entry(server.zone).or_default();
+        zone.fade(now);
+        zone.good += 1.0;
+        if self.recent.back() != Some(&id) {
+            self.recent.retain(|recent| *recent != id);
+            self.recent.push_back(id);
+            if self.recent.len() > RECENT {
+                self.recent.pop_front();
+            }
+        }
+    }
+
+    /// A server could not be reached, or said nothing.
+    pub fn failed(&mut self, id: u64, now: Duration) {
+        let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
+        server.failed = Some(now);
+        let zone = self.zones.entry(server.zone).or_default();
+        zone.fade(now);
+        zone.bad += 1.0;
+        self.recent.retain(|recent| *recent != id);
+    }
+
+    /// How much speaks against reaching a server, 0 to 1; nothing does for one that is not known.
+    pub fn doubt(&self, id: u64, now: Duration) -> f64 {
+        let Some(server) = self.places.get(&id).map(|place| &self.servers[*place]) else { return 0.0 };
+        let age = |at: Duration| now.saturating_sub(at).as_secs_f64() / HALF.as_secs_f64();
+        let own = server.failed.filter(|failed| server.heard.is_none_or(|heard| heard < *failed));
+        let own = own.map_or(0.0, |failed| 0.5f64.powf(age(failed)));
+        // Its own answer says more than what its zone's others do.
+        let sure = server.heard.map_or(0.0, |heard| 0.5f64.powf(age(heard)));
+        own.max(self.zone_doubt(server.zone, now) * (1.0 - sure))
+    }
+
+    /// The same of a zone's servers that were not met.
+    fn zone_doubt(&self, zone: usize, now: Duration) -> f64 {
+        self.zones.get(&zone).map_or(0.0, |count| {
+            let mut count = *count;
+            count.fade(now);
+            count.bad / (count.bad + count.good + FEW)
+        })
+    }
+
+    /// A server that is likely to be in reach, other than these, if one is known; `draw` is the only source of chance.
+    pub fn pick(&self, draw: u64, now: Duration, but: &[u64]) -> Option<u64> {
+        let size = self.servers.len() as u64;
+        let drawn = (0..DRAWN.min(size * 2)).map(|n| self.servers[(mix(draw ^ n) % size) as usize].id);
+        let among = drawn.chain(self.recent.iter().copied()).filter(|id| !but.contains(id));
+        let tried = |zone: usize| but.iter().any(|id| self.zone(*id) == Some(zone));
+        let against = |id: u64| {
+            let again = self.zone(id).is_some_and(tried);
+            self.doubt(id, now) + if again { 0.25 } else { 0.0 } + 0.1 * crate::chance::fraction(draw ^ id)
+        };
+        let best = among.min_by(|a, b| against(*a).total_cmp(&against(*b)));
+        // Few servers, and chance drew none that is left: any of them.
+        best.or_else(|| self.servers.iter().map(|server| server.id).find(|id| !but.contains(id)))
+    }
+
+    fn zone(&self, id: u64) -> Option<usize> {
+        self.places.get(&id).map(|place| self.servers[*place].zone)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SECOND: Duration = Duration::from_secs(1);
+
+    fn three_zones(size: u64) -> Reach {
+        let mut reach = Reach::default();
+        (0..size).for_each(|id| reach.join(id, (id % 3) as usize));
+        reach
+    }
+
+    #[test]
+    fn a_zone_that_was_cut_is_avoided_whole_and_found_again() {
+        let mut reach = three_zones(300);
+        (0..6).for_each(|n| reach.failed(3 * n, SECOND));
+        (0..6).for_each(|n| reach.heard(3 * n + 1, SECOND));
+        let picked = |reach: &Reach, now, draw: u64| reach.pick(mix(draw), now, &[]).unwrap();
+        let cut = |reach: &Reach, now| {
+            (0..1_000).filter(|draw| picked(reach, now, *draw).is_multiple_of(3)).count()
+        };
+        assert_eq!(cut(&reach, SECOND), 0, "none of its servers, met or not");
+        assert!(reach.doubt(33, SECOND) > 0.5 && reach.doubt(31, SECOND) == 0.0);
+        assert!(cut(&reach, 30 * SECOND) > 100, "forgiven in time");
+        reach.heard(33, 2 * SECOND);
+        assert!(reach.doubt(33, 2 * SECOND) < 0.1, "its own answer says more");
+    }
+
+    #[test]
+    fn one_failure_says_little_of_the_others() {
+        let mut reach = three_zones(30);
+        reach.failed(0, SECOND);
+        assert!(reach.doubt(0, SECOND) > 0.9);
+        assert!(reach.doubt(3, SECOND) < 0.4);
+    }
+
+    #[test]
+    fn picks_are_spread_and_none_is_repeated() {
+        let reach = three_zones(1_024);
+        let picks: std::collections::HashSet<_> =
+            (0..1_024).filter_map(|n| reach.pick(mix(n), SECOND, &[])).collect();
+        assert!(picks.len() > 500, "{}", picks.len());
+        let few = three_zones(4);
+        let mut tried = vec![];
+        while let Some(next) = few.pick(9, SECOND, &tried) {
+            tried.push(next);
+        }
+        tried.sort();
+        assert_eq!(tried, [0, 1, 2, 3]);
+    }
+
+    #[test]
+    fn who_leaves_is_forgotten() {
+        let mut reach = three_zones(1_024);
+        (0..1_024).for_each(|id| reach.heard(id, SECOND));
+        (0..1_024).for_each(|id| reach.leave(id));
+        assert!(reach.is_empty() && reach.places.is_empty() && reach.recent.is_empty());
+        assert_eq!(reach.pick(1, SECOND, &[]), None);
+    }
+}
