--- a/fleet/src/chance.rs
+++ b/fleet/src/chance.rs
@@ -11,3 +11,8 @@
 pub fn fraction(x: u64) -> f64 {
     mix(x) as f64 / u64::MAX as f64
 }
+
+/// The mean of what was thought and what is seen, by the weight of the latter.
+pub fn blend(old: f64, new: f64, weight: f64) -> f64 {
+    old + weight * (new - old)
+}
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod calls;
 pub mod chance;
 pub mod cold;
+pub mod limit;
 pub mod popular;
 pub mod reach;
--- /dev/null
+++ b/fleet/src/limit.rs
@@ -0,0 +1,77 @@
+//! A limit at the gate that follows the answers: it falls where they are late, and grows where they are quick and it is
+//! nearly used up. Each router has its part of a limit whose start is told for all of them.
+
+/// No limit grows past this multiple of its start ...
+const MOST_GROWTH: f64 = 4.0;
+/// ... and none falls below this share of it, so that recovery is seen.
+const FLOOR: f64 = 0.3;
+/// It falls by a request for each late one and grows by this part of one for each quick one; so idle and busy routers
+/// settle at the same share of late ones.
+const GROW: f64 = 0.5;
+/// It grows only where this share of it is in use.
+const NEAR: f64 = 0.7;
+/// Chance puts more at one router than its even part: so many deviations are allowed for.
+const CHANCE: f64 = 2.0;
+/// One answer of the few that one of many routers has moves it by this share of its start at most: the weight of a
+/// sample where there are few.
+const LARGEST_STEP: f64 = 0.25;
+
+/// One router's part of a limit.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// As a multiple of its start.
+    times: f64,
+    routers: f64,
+}
+
+impl Limit {
+    /// At its start, for one of so many routers.
+    pub fn new(routers: u32) -> Self {
+        Limit { times: 1.0, routers: f64::from(routers.max(1)) }
+    }
+
+    /// What this router may have out, of a limit that starts so for all routers, with some allowance for chance: the
+    /// part of a hundredth is well under one request, while requests come whole. `one`: the size of a request.
+    pub fn part(&self, start: f64, one: f64) -> f64 {
+        let part = start * self.times / self.routers;
+        part + CHANCE * (part * one).sqrt()
+    }
+
+    /// An answer came, late or not, while so much was out.
+    pub fn answered(&mut self, late: bool, used: f64, start: f64, one: f64) {
+        let step = (one * self.routers / start).min(LARGEST_STEP);
+        if late {
+            self.times = (self.times - step).max(FLOOR);
+        } else if used > NEAR * self.part(start, one) {
+            self.times = (self.times + GROW * step).min(MOST_GROWTH);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn late_answers_shrink_it_to_its_floor_and_quick_ones_let_it_grow_where_it_is_used() {
+        let mut limit = Limit::new(2);
+        let start = limit.part(100.0, 1.0);
+        limit.answered(false, 0.0, 100.0, 1.0);
+        assert_eq!(limit.part(100.0, 1.0), start, "not used");
+        (0..20).for_each(|_| limit.answered(false, start, 100.0, 1.0));
+        assert!(limit.part(100.0, 1.0) > start);
+        (0..1_000).for_each(|_| limit.answered(true, start, 100.0, 1.0));
+        let floor = limit.part(100.0, 1.0);
+        assert!(floor > 0.25 * start && floor < 0.5 * start);
+        (0..1_000).for_each(|_| limit.answered(false, 1e9, 100.0, 1.0));
+        assert!(limit.part(100.0, 1.0) < 5.0 * start);
+    }
+
+    #[test]
+    fn one_answer_moves_one_of_many_routers_by_a_quarter_at_most() {
+        let mut limit = Limit::new(300);
+        let before = limit.times;
+        limit.answered(true, 1.0, 20.0, 1.0);
+        assert_eq!(before - limit.times, LARGEST_STEP);
+    }
+}
--- a/fleet/src/reach.rs
+++ b/fleet/src/reach.rs
@@ -46,6 +46,11 @@
 }
 
 impl Reach {
+    /// What the list says of a server: whether it takes new work.
+    pub fn list(&mut self, id: u64, zone: usize, active: bool) {
+        if active { self.join(id, zone) } else { self.leave(id) }
+    }
+
     /// A server is listed. One that is known already stays as it is, but for its zone.
     pub fn join(&mut self, id: u64, zone: usize) {
         match self.places.get(&id) {
@@ -77,6 +82,11 @@
         self.servers.is_empty()
     }
 
+    /// A server answered something, or could not be reached or said nothing.
+    pub fn met(&mut self, id: u64, answered: bool, now: Duration) {
+        if answered { self.heard(id, now) } else { self.failed(id, now) }
+    }
+
     /// A server answered something.
     pub fn heard(&mut self, id: u64, now: Duration) {
         let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
--- a/holds/src/lib.rs
+++ b/holds/src/lib.rs
@@ -19,7 +19,9 @@
 
 /// A server that may be out of reach is asked in its turn only: above this doubt another is.
 const DOUBTED: f64 = 0.5;
-/// Rounds of calls in the time that the rule leaves beyond the settings', each with twice as many servers.
+/// A round of calls has this part of the settings' time; the next one asks twice as many servers.
+const ROUND: u32 = 5;
+/// So many rounds fit between the time at which a state has to go and the rule's: one server of seven answers.
 const ROUNDS: u32 = 3;
 /// Servers asked in one round at most; past the rule's time it is one.
 const MOST_A_ROUND: usize = 4;
@@ -42,6 +44,24 @@
     pub grace: Duration,
     /// Calls under way at once.
     pub at_once: usize,
+    /// The only source of chance: routers that draw alike would all ask the same servers.
+    pub seed: u64,
+}
+
+impl Terms {
+    /// A call that got no answer in this time has failed: servers answer at once.
+    pub fn patience(&self) -> Duration {
+        self.round() * 3 / 2
+    }
+
+    fn round(&self) -> Duration {
+        self.within / ROUND
+    }
+
+    /// For how long a state may wait for a writer.
+    fn waits(&self) -> Duration {
+        self.within.min((self.within + self.grace).saturating_sub(self.round() * ROUNDS))
+    }
 }
 
 /// Whether an attempt may start.
@@ -213,7 +233,7 @@
                 Start::Wait
             }
             State::Held => {
-                let expires = hold.since + self.terms.within;
+                let expires = hold.since + self.terms.waits();
                 self.wake(request, None);
                 Start::Go(Some(expires))
             }
@@ -229,7 +249,7 @@
     pub fn read(&mut self, request: u64, label: &L, at: u64, now: Duration) {
         let hold = self.hold(request, label, at, now);
         (hold.state, hold.at, hold.since, hold.out) = (State::Held, at, now, false);
-        self.wake(request, Some(now + self.terms.within));
+        self.wake(request, Some(now + self.terms.waits()));
     }
 
     /// A read ended in a way that may have left a state there.
@@ -249,7 +269,7 @@
         }
         (hold.out, hold.waits) = (false, false);
         let due = match hold.state {
-            State::Held => Some(hold.since + self.terms.within),
+            State::Held => Some(hold.since + self.terms.waits()),
             State::Owed | State::Releasing => Some(now),
             State::Gone => hold.again.map(|again| again.max(now)),
         };
@@ -290,7 +310,7 @@
             Called::Answered => {
                 hold.state = State::Gone;
                 // Once more, when what came later has to go at the latest.
-                let again = hold.since + self.terms.within;
+                let again = hold.since + self.terms.waits();
                 hold.again = std::mem::take(&mut hold.lost).then_some(again);
                 let due = hold.again.filter(|_| !hold.waits);
                 self.clear(request);
@@ -420,7 +440,7 @@
 
     /// Asks the next servers.
     fn round(&mut self, request: u64, now: Duration, reach: &Reach) {
-        let Terms { within, grace, at_once } = self.terms;
+        let Terms { within, at_once, seed, .. } = self.terms;
         let Some(hold) = self.holds.get_mut(&request) else { return };
         if hold.state == State::Owed {
             (hold.state, hold.round, hold.again) = (State::Releasing, 0, None);
@@ -441,7 +461,7 @@
             let own = Some(hold.at).filter(|at| !but.contains(at));
             let fine = own.filter(|at| !busy(at) && reach.doubt(*at, now) <= DOUBTED);
             let mut other = || {
-                let draw = mix(request ^ mix(u64::from(round) ^ (but.len() as u64) << 32));
+                let draw = mix(seed ^ request ^ mix(u64::from(round) ^ ((but.len() as u64) << 32)));
                 let picked = reach.pick(draw, now, &but)?;
                 but.push(picked);
                 Some(picked)
@@ -464,7 +484,7 @@
             let label = hold.label.clone();
             self.acts.push(Act::Ask { request, label, server });
         }
-        let patience = if late { within } else { grace / ROUNDS };
+        let patience = if late { within } else { self.terms.round() };
         self.wake(request, Some(now + patience));
     }
 
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -20,6 +20,10 @@
 pub const MOST_CALLERS: usize = 16;
 /// Part of the others that clients may hold; the rest is for servers.
 const CLIENT_PART: f64 = 0.55;
+/// One of so many of these is kept back for releases, and so many at least: a release takes a few milliseconds, so
+/// that a handful lets go of thousands a second.
+const RELEASE_PART: usize = 16;
+const LEAST_RELEASES: usize = 2;
 /// With fewer descriptors than this a router cannot work.
 const LEAST_SOCKETS: usize = 80;
 
@@ -99,6 +103,8 @@
     pub client_sockets: usize,
     /// Server connections that may be open at once.
     pub server_sockets: usize,
+    /// Of these, the ones kept back for releases.
+    pub release_sockets: usize,
     /// Bytes of requests' bodies that may be held at once.
     pub body_bytes: usize,
     /// Bytes that long-lived connections may hold at once, where there are any.
@@ -185,6 +191,7 @@
             seed: seed(&file.seed),
             client_sockets,
             server_sockets,
+            release_sockets: (server_sockets / RELEASE_PART).max(LEAST_RELEASES),
             body_bytes,
             live_bytes,
             known: file.known,
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,13 +7,14 @@
 use crate::log;
 use crate::names;
 use crate::usage::{self, Usage};
+use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
 use shedrelay::*;
-use shedrelay_settings::Links;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
@@ -54,6 +55,8 @@
     pub deadline: Instant,
     /// When what is held for the request has to be let go, unless its last byte is written by then.
     pub expires: Option<Instant>,
+    /// It must not be begun before this says so, and tells that time anew: what is held is being let go of.
+    pub after: Option<oneshot::Receiver<Option<Instant>>>,
     /// Ends the attempt early.
     pub stop: oneshot::Receiver<()>,
 }
@@ -98,9 +101,8 @@
 pub trait Servers {
     /// Starts an attempt; [`Core::started`] and [`Core::ended`] hear of it, never before this returns.
     fn send(&self, order: Order);
-    /// Lets go of all that is held for a request, at this server if it can be reached, else by others, as long
-    /// as [`Core::owes`] says so.
-    fn release(&self, request: RequestId, label: &str, at: Rc<Server>);
+    /// Asks a server to let go of all that is held for a request.
+    fn release(&self, label: Rc<str>, at: Rc<Server>) -> Pin<Box<dyn Future<Output = Called>>>;
     /// A server takes nothing new, or moved: its idle connections can go.
     fn retire(&self, server: &Server);
 }
@@ -144,13 +146,8 @@
     deadline: Instant,
     attempts: u32,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
-    /// The last reader that may hold a state.
-    reader: Option<Rc<Server>>,
-    /// Since when that state waits with no attempt out. Guards against connections that do not come up, one
-    /// after the other, while the rule's clock runs.
-    waits: Option<Instant>,
-    /// Where something may be held that has to be let go of once no attempt is out.
-    owed: Option<Rc<Server>>,
+    /// Lets an attempt begin that waits for a release.
+    go: Option<oneshot::Sender<Option<Instant>>>,
     /// How long it waited for its first attempt, and until its prompt was read.
     sent: Option<Duration>,
     read: Option<Duration>,
@@ -187,10 +184,12 @@
 pub struct Core {
     router: RefCell<Router>,
     names: shedrelay_settings::Names,
-    /// How long anything may be held while no attempt is out.
-    release_within: Duration,
     roles: Vec<Role>,
     open: RefCell<HashMap<RequestId, Open>>,
+    /// What is held for requests, when that is looked at next, and who is being asked to let go of it.
+    holds: RefCell<Holds<Rc<str>>>,
+    hold_alarm: RefCell<Option<(Duration, Alarm)>>,
+    releases: RefCell<HashMap<u64, Vec<(ServerId, Alarm)>>>,
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
     servers: RefCell<Option<Rc<dyn Servers>>>,
@@ -214,7 +213,7 @@
     pub fn new(
         settings: Settings,
         names: shedrelay_settings::Names,
-        links: Links,
+        terms: Terms,
         seed: u64,
         usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
@@ -230,9 +229,11 @@
         Ok(Rc::new_cyclic(|me| Core {
             router: RefCell::new(router),
             names,
-            release_within: Duration::from_nanos(links.release_within.0),
             roles,
             open: RefCell::default(),
+            holds: RefCell::new(Holds::new(terms)),
+            hold_alarm: RefCell::default(),
+            releases: RefCell::default(),
             labels: RefCell::default(),
             list: RefCell::default(),
             servers: RefCell::default(),
@@ -517,9 +518,7 @@
             deadline,
             attempts: 0,
             current: None,
-            reader: None,
-            waits: None,
-            owed: None,
+            go: None,
             sent: None,
             read: None,
             kept: None,
@@ -583,9 +582,7 @@
             deadline: now,
             attempts: 1,
             current: Some((server.clone(), Some(stop))),
-            reader: None,
-            waits: None,
-            owed: None,
+            go: None,
             sent: None,
             read: None,
             kept: None,
@@ -609,6 +606,7 @@
             until: now,
             deadline: now,
             expires: None,
+            after: None,
             stop: stopped,
         };
         Some((order, end))
@@ -659,7 +657,7 @@
             (open.started, open.answered) = (true, true);
             open.first = Some(open.exchange.call.arrived.elapsed());
             // With the first event all that is held goes by itself.
-            (open.reader, open.owed) = (None, None);
+            self.holds.borrow_mut().began(request.0);
             open.exchange.open(Opening::Stream);
         }
         self.handle(Event::First { request, attempt });
@@ -685,17 +683,21 @@
             let Some(open) = all.get_mut(&request) else { return };
             let Some((server, _)) = open.current.take() else { return };
             let reads = server.role == Role::Reader;
-            if ended.written {
-                open.waits = Some(Instant::now());
-            }
+            let (at, now) = (server_id(&server.label).0, self.hold_time());
+            let mut holds = self.holds.borrow_mut();
+            let label = || Rc::from(open.exchange.call.label.as_str());
             if verdict == Verdict::Read {
-                open.reader = Some(server.clone());
+                holds.read(request.0, &label(), at, now);
                 open.read = Some(open.exchange.call.arrived.elapsed());
                 open.kept = ended.kept;
             } else if reads && ended.written && verdict != Verdict::Full {
                 // The read may have ended well at the very moment its connection ended.
-                open.owed = Some(server.clone());
+                holds.lost(request.0, &label(), at, now);
+            } else {
+                holds.ended(request.0, ended.written, now);
             }
+            open.go = None;
+            drop(holds);
             if !ended.written && verdict == Verdict::Cancelled {
                 // Never sent whole: it proves that it never ran.
                 verdict = if open.left { Verdict::Moot } else { Verdict::NoRoute };
@@ -785,40 +787,112 @@
         );
     }
 
-    /// While no attempt of a request is out, what is held for it is let go of. Guards against a release that
-    /// overtakes the next attempt and takes its state away.
+    /// Forgets a request that has its answer and no attempt out; what is held for it has to go.
     fn settle(&self, id: RequestId) {
-        let due =
-            self.open.borrow_mut().get_mut(&id).filter(|open| open.current.is_none()).and_then(|open| {
-                let server = open.owed.take()?;
-                Some((open.exchange.call.label.clone(), server))
-            });
-        if let (Some((label, server)), Some(servers)) = (due, self.servers.borrow().as_ref()) {
-            servers.release(id, &label, server);
+        {
+            let mut all = self.open.borrow_mut();
+            if all.get(&id).is_some_and(|open| open.answered && open.current.is_none())
+                && let Some(open) = all.remove(&id)
+            {
+                self.labels.borrow_mut().remove(&open.exchange.call.label);
+                self.holds.borrow_mut().closed(id.0, self.hold_time());
+            }
         }
-        self.sweep(id);
+        self.let_go();
     }
 
-    /// Whether a release must still be made. If an attempt has gone out meanwhile it has to wait for its end.
-    pub fn owes(&self, id: RequestId, at: &Rc<Server>) -> bool {
-        match self.open.borrow_mut().get_mut(&id) {
-            Some(open) if open.current.is_some() && !open.started => {
-                open.owed = Some(at.clone());
-                false
+    // What is held.
+
+    /// The clock of what is held: the module's.
+    fn hold_time(&self) -> Duration {
+        Duration::from_nanos(self.now().0)
+    }
+
+    fn instant(&self, hold_time: Duration) -> Instant {
+        self.born + hold_time.saturating_sub(Duration::from_nanos(self.unix))
+    }
+
+    /// Requests for which something is held or being let go of, and those for which something was held too long.
+    pub fn holding(&self) -> (usize, u64) {
+        let holds = self.holds.borrow();
+        (holds.len(), holds.late())
+    }
+
+    /// Carries out what the owner of holds says, now and when it is next due.
+    fn let_go(&self) {
+        let mut unlisted = Vec::new();
+        loop {
+            let now = self.hold_time();
+            let acts = {
+                let mut holds = self.holds.borrow_mut();
+                for (request, server) in unlisted.drain(..) {
+                    holds.called(request, server, Called::Failed, now);
+                }
+                holds.act(now, self.router.borrow().reach())
+            };
+            if acts.is_empty() {
+                break;
+            }
+            for act in acts {
+                match act {
+                    Act::Ask { request, label, server } => match self.server(ServerId(server)) {
+                        Some(at) => self.ask(request, label, at),
+                        None => unlisted.push((request, server)),
+                    },
+                    Act::Clear(request, expires) => {
+                        self.releases.borrow_mut().remove(&request);
+                        let mut all = self.open.borrow_mut();
+                        if let Some(go) = all.get_mut(&RequestId(request)).and_then(|open| open.go.take()) {
+                            let _ = go.send(expires.map(|at| self.instant(at)));
+                        }
+                    }
+                    Act::Late { label, at, held, why } => {
+                        let at = self.server(ServerId(at));
+                        let (ms, server) = (held.as_millis(), self::label(&at));
+                        log!("hold late id={label} server={server} held_ms={ms} reason={}", reason(why));
+                    }
+                    Act::Forgotten { label, at } => {
+                        let at = self.server(ServerId(at));
+                        log!("hold forgotten id={label} server={}", self::label(&at));
+                    }
+                }
             }
-            Some(open) => !open.started,
-            None => true,
         }
+        let next = self.holds.borrow().next();
+        if self.hold_alarm.borrow().as_ref().map(|(at, _)| *at) == next {
+            return;
+        }
+        let me = self.me.clone();
+        *self.hold_alarm.borrow_mut() = next.map(|next| {
+            let at = self.instant(next);
+            let wait = async move {
+                actix_rt::time::sleep_until(at.into()).await;
+                let Some(core) = me.upgrade() else { return };
+                // Not its own task: that would end with the alarm that the next one replaces.
+                let alarm = core.hold_alarm.borrow_mut().take();
+                core.let_go();
+                drop(alarm);
+            };
+            (next, Alarm(actix_rt::spawn(wait)))
+        });
     }
 
-    /// Forgets a request that has its answer and no attempt out.
-    fn sweep(&self, id: RequestId) {
-        let mut all = self.open.borrow_mut();
-        if all.get(&id).is_some_and(|open| open.answered && open.current.is_none())
-            && let Some(open) = all.remove(&id)
-        {
-            self.labels.borrow_mut().remove(&open.exchange.call.label);
-        }
+    /// Asks a server to let go of what is held for a request.
+    fn ask(&self, request: u64, label: Rc<str>, at: Rc<Server>) {
+        let Some(servers) = self.servers.borrow().clone() else { return };
+        let (me, server) = (self.me.clone(), server_id(&at.label));
+        let call = async move {
+            let how = servers.release(label, at).await;
+            let Some(core) = me.upgrade() else { return };
+            if how != Called::Unasked {
+                let ok = how == Called::Answered;
+                core.handle(Event::Probed { server, ok, report: None });
+            }
+            core.holds.borrow_mut().called(request, server.0, how, core.hold_time());
+            core.let_go();
+        };
+        let call = Alarm(actix_rt::spawn(call));
+        self.releases.borrow_mut().entry(request).or_default().push((server, call));
     }
 
     // The module.
@@ -854,9 +928,7 @@
                 self.later(request);
             }
             Action::Release(request) => {
-                if let Some(open) = self.open.borrow_mut().get_mut(&request) {
-                    open.owed = open.reader.take().or(open.owed.take());
-                }
+                self.holds.borrow_mut().release(request.0, self.hold_time());
             }
             Action::Timer { timer, after } => {
                 let me = self.me.clone();
@@ -905,6 +977,14 @@
         open.current = Some((server.clone(), Some(stop)));
         open.route[usize::from(server.role != Role::Reader)] = Some(server.clone());
         open.sent.get_or_insert_with(|| open.exchange.call.arrived.elapsed());
+        let (expires, after) = match self.holds.borrow_mut().starts(id.0, self.hold_time()) {
+            Start::Go(expires) => (expires.map(|at| self.instant(at)), None),
+            Start::Wait => {
+                let (go, after) = oneshot::channel();
+                open.go = Some(go);
+                (None, Some(after))
+            }
+        };
         let wait = timeout.map_or(open.deadline, |t| Instant::now() + Duration::from_nanos(t.0));
         let order = Order {
             exchange: open.exchange.clone(),
@@ -913,7 +993,8 @@
             server,
             until: wait.min(open.deadline),
             deadline: open.deadline,
-            expires: open.reader.as_ref().and(open.waits).map(|since| since + self.release_within),
+            expires,
+            after,
             stop: stopped,
         };
         drop(all);
@@ -921,10 +1002,14 @@
             servers.send(order);
         }
     }
+}
 
-    /// Servers that could take a release in another's place.
-    pub fn others(&self) -> Vec<Rc<Server>> {
-        self.list.borrow().values().filter(|s| s.told.get().is_none()).cloned().collect()
+/// Why something is held too long, for the log.
+fn reason(why: Why) -> &'static str {
+    match why {
+        Why::Unanswered => "unanswered",
+        Why::Unasked => "no-sockets",
+        Why::NoServer => "no-server",
     }
 }
 
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -34,6 +34,8 @@
 /// SIGKILL follows SIGTERM no sooner than the longest time that a client waits, counted as this much where it is
 /// longer, and 0.7 s: streams that are still open then go to the next process in that last part.
 const KILLED: Duration = Duration::from_secs(3);
+/// What is held has so much more than the settings say, on sockets: releases have this time.
+const HELD_MORE: Duration = Duration::from_millis(300);
 /// The longest wait for answers under way; the platform kills what is left.
 const LAST_ANSWERS: Duration = Duration::from_secs(60);
 
@@ -114,10 +116,17 @@
         None => None,
     };
     let calls = fawnstream_fleet::calls::Calls::new(config.settings.routers, config.seed);
-    let core = core::Core::new(config.settings, config.names, config.links, config.seed, usage.clone())?;
+    let terms = fawnstream_holds::Terms {
+        within: Duration::from_nanos(config.links.release_within.0),
+        grace: HELD_MORE,
+        at_once: config.release_sockets,
+        seed: config.seed,
+    };
+    let core = core::Core::new(config.settings, config.names, terms, config.seed, usage.clone())?;
     let inherits = inherited.is_some();
     let handover = handover::Handover::new(inherits);
-    let fleet = servers::Fleet::new(core.clone(), config.links, config.server_sockets, handover.clone());
+    let fleet =
+        servers::Fleet::new(core.clone(), config.links, config.server_sockets, terms, handover.clone());
     core.connect(fleet.clone());
     // Before the first list: it hears of the servers by its news.
     let websocket = config.websocket.as_ref().map(|told| told.listen);
@@ -210,14 +219,15 @@
     });
     actix_rt::time::sleep(STILL_OPEN).await;
     let last = Instant::now() + LAST_ANSWERS;
-    while (shared.open() > 0 || core.busy() > 0) && Instant::now() < last {
+    while (shared.open() > 0 || core.busy() > 0 || core.holding().0 > 0) && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
     if let Some(usage) = usage {
         usage.stop().await;
     }
     let (ids, servers) = core.held();
-    log!("stopped requests={} connections={} ids={ids} servers={servers}", core.busy(), shared.open());
+    let (busy, open, holds) = (core.busy(), shared.open(), core.holding().0);
+    log!("stopped requests={busy} connections={open} ids={ids} servers={servers} holds={holds}");
     Ok(())
 }
 
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -17,6 +17,7 @@
 use awc::http::StatusCode;
 use awc::http::header::CONTENT_TYPE;
 use bytes::{Bytes, BytesMut};
+use fawnstream_holds::{Called, Terms};
 use fawnstream_ledger::entry::Tokens;
 use futures_core::Stream;
 use link::{Lane, Pool, Raw};
@@ -41,15 +42,14 @@
 const LONGEST_AGE_MS: u64 = 3_600_000;
 /// A connection that breaks in this time after it was used again was broken before.
 const AT_ONCE: Duration = Duration::from_millis(100);
-/// One try of a release, and how many there are: all together well under the time that a state may be held.
-const RELEASE_TRY: Duration = Duration::from_millis(120);
-const RELEASE_TRIES: usize = 5;
 
 /// The servers' side of the router.
 pub struct Fleet {
     core: Rc<Core>,
     pool: Rc<Pool>,
     handover: Rc<Handover>,
+    /// What a release waits for its answer.
+    patience: Duration,
 }
 
 impl Fleet {
@@ -58,11 +58,12 @@
         core: Rc<Core>,
         links: shedrelay_settings::Links,
         sockets: usize,
+        terms: Terms,
         handover: Rc<Handover>,
     ) -> Rc<Self> {
-        let pool = Pool::new(links, sockets, core.dispatch_counter());
+        let pool = Pool::new(links, sockets, terms.at_once, core.dispatch_counter());
         pool.clone().sweep();
-        Rc::new(Fleet { core, pool, handover })
+        Rc::new(Fleet { core, pool, handover, patience: terms.patience() })
     }
 
     /// Goes on with a stream that another process began, once what this returns is called; until then nothing of it
@@ -98,11 +99,22 @@
 }
 
 impl crate::core::Servers for Fleet {
-    fn send(&self, order: Order) {
+    fn send(&self, mut order: Order) {
         let (core, pool, handover) = (self.core.clone(), self.pool.clone(), self.handover.clone());
         actix_rt::spawn(async move {
             let (request, attempt) = (order.request, order.attempt);
             let mut way = Way { core: &core, pool: &pool, handover: &handover };
+            if let Some(after) = order.after.take() {
+                order.expires = tokio::select! {
+                    biased;
+                    // Nobody can say so any more where the core has ended.
+                    expires = after => expires.unwrap_or_default(),
+                    _ = &mut order.stop => {
+                        let ended = Ended { verdict: Verdict::Cancelled, ..Ended::unsent("cancelled") };
+                        return core.ended(request, attempt, ended);
+                    }
+                };
+            }
             let Some(lane) = pool.take(&order.server) else {
                 return core.ended(request, attempt, Ended::unsent("no-sockets"));
             };
@@ -118,9 +130,8 @@
         });
     }
 
-    fn release(&self, request: RequestId, label: &str, at: Rc<Server>) {
-        let (core, pool, label) = (self.core.clone(), self.pool.clone(), label.to_owned());
-        actix_rt::spawn(async move { release(&core, &pool, request, &label, at).await });
+    fn release(&self, label: Rc<str>, at: Rc<Server>) -> Pin<Box<dyn Future<Output = Called>>> {
+        Box::pin(release(self.pool.clone(), label, at, self.patience))
     }
 
     fn retire(&self, server: &Server) {
@@ -651,32 +662,24 @@
     }
 }
 
-/// Lets go of all that is held for a request: at the server that may hold it, and while that can't be heard at
-/// others, since every server passes a release on. Only an answer counts: a dead machine takes bytes too.
-async fn release(core: &Core, pool: &Rc<Pool>, request: RequestId, label: &str, at: Rc<Server>) {
-    let mut others = core.others();
-    others.sort_by_key(|server| crate::names::hash(&server.label) ^ u64::from(at.address.port()));
-    let others = others.iter().filter(|other| !Rc::ptr_eq(&at, other));
-    for server in std::iter::once(&at).chain(others).take(RELEASE_TRIES) {
-        if !core.owes(request, &at) {
-            return;
-        }
-        let Some(lane) = pool.take(server) else { continue };
-        let uri = format!("http://{}/bootstrap/rooms/{label}", server.address);
-        lane.unwatched();
-        let answered = {
-            let mut asked = std::pin::pin!(async {
-                let mut answer = lane.client.delete(uri).send().await.ok()?;
-                small(&mut answer).await.filter(|_| answer.status().is_success())
-            });
-            let answered = actix_rt::time::timeout(RELEASE_TRY, &mut asked).await;
-            // Noted before the connection ends; one that is kept has it noted anew.
-            lane.closing("release-failed");
-            answered.ok().flatten().is_some()
-        };
-        if answered {
-            return pool.give(lane);
-        }
+/// Asks a server to let go of all that is held for a request. Only an answer counts: a dead machine takes bytes too.
+async fn release(pool: Rc<Pool>, label: Rc<str>, at: Rc<Server>, patience: Duration) -> Called {
+    let Some(lane) = pool.take_kept_back(&at) else { return Called::Unasked };
+    let uri = format!("http://{}/bootstrap/rooms/{label}", at.address);
+    lane.unwatched();
+    // What its connection's end is put down to, unless it is kept, which has that noted anew: another server may
+    // have answered first, or this one not in time.
+    lane.closing("release-failed");
+    let answered = {
+        let mut asked = std::pin::pin!(async {
+            let mut answer = lane.client.delete(uri).send().await.ok()?;
+            small(&mut answer).await.filter(|_| answer.status().is_success())
+        });
+        actix_rt::time::timeout(patience, &mut asked).await
+    };
+    if !matches!(answered, Ok(Some(_))) {
+        return Called::Failed;
     }
-    log!("release failed id={label}");
+    pool.give(lane);
+    Called::Answered
 }
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -452,6 +452,8 @@
     idle: RefCell<HashMap<SocketAddr, Vec<Lane>>>,
     open: Rc<Cell<usize>>,
     most: usize,
+    /// So many of these are kept back for releases.
+    kept_back: usize,
     links: Links,
     strikes: Cell<f64>,
     trust: Cell<Duration>,
@@ -459,13 +461,14 @@
 }
 
 impl Pool {
-    /// With so many connections at most; counts the attempts written whole.
-    pub fn new(links: Links, most: usize, dispatches: Rc<Cell<u64>>) -> Rc<Self> {
+    /// With so many connections at most, and so many of these kept back; counts the attempts written whole.
+    pub fn new(links: Links, most: usize, kept_back: usize, dispatches: Rc<Cell<u64>>) -> Rc<Self> {
         let (strikes, trust) = (Cell::new(0.0), Cell::new(longest_idle(links)));
         Rc::new(Pool {
             idle: RefCell::default(),
             open: Rc::default(),
             most,
+            kept_back,
             links,
             strikes,
             trust,
@@ -483,6 +486,15 @@
 
     /// A lane to this server: the one used last, or a new one. None if all connections are taken.
     pub fn take(&self, server: &Server) -> Option<Lane> {
+        self.take_of(server, self.most - self.kept_back)
+    }
+
+    /// The same for a release. Guards against attempts that leave no connection for what must not wait.
+    pub fn take_kept_back(&self, server: &Server) -> Option<Lane> {
+        self.take_of(server, self.most)
+    }
+
+    fn take_of(&self, server: &Server, most: usize) -> Option<Lane> {
         let mut idle = self.idle.borrow_mut();
         if let Some(lane) = idle.get_mut(&server.address).and_then(Vec::pop) {
             if lane.idle_since.elapsed() <= self.trust.get() {
@@ -490,7 +502,7 @@
             }
             lane.closing("idle");
         }
-        if self.open.get() >= self.most {
+        if self.open.get() >= most {
             let oldest = idle.values_mut().filter(|lanes| !lanes.is_empty());
             let oldest = oldest.min_by_key(|lanes| lanes[0].idle_since)?;
             oldest.remove(0).closing("evicted");
@@ -516,7 +528,7 @@
 
     /// Room for a connection that another process opened; none if all are taken.
     pub fn carried(&self) -> Option<Carried> {
-        if self.open.get() >= self.most {
+        if self.open.get() >= self.most - self.kept_back {
             return None;
         }
         self.open.set(self.open.get() + 1);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,8 @@
 //! Mixed servers take their own share whole. `docs/design.md` says where and when each departure acts.
 
 use crate::interface::*;
-use fawnstream_fleet::{chance::fraction, chance::mix, cold::Cold, cold::Purse, popular::Popular};
+use fawnstream_fleet::chance::{blend, fraction, mix};
+use fawnstream_fleet::{cold::Cold, cold::Purse, limit::Limit, popular::Popular, reach::Reach};
 use std::collections::BTreeMap;
 
 /// A kept text is believed in for this long (the design's default).
@@ -37,19 +38,8 @@
 const START_FILL: f64 = 0.9;
 /// ... or at so many reads a reader: most read a few prompts at once, and queue some.
 const START_READS: f64 = 12.0;
-/// No limit grows past this multiple of its start.
-const MOST_GROWTH: f64 = 4.0;
-/// Chance puts more at one router than its even part: so many deviations are allowed for.
-const CHANCE: f64 = 2.0;
 /// A read or first token later than this share of the aim says that its servers are full.
 const LATE: f64 = 0.45;
-/// A limit falls by a request for each late one and grows by this part of one for each quick one; so idle and
-/// busy routers settle at the same share of late ones.
-const LIMIT_GROW: f64 = 0.5;
-/// It grows only where this share of it is in use ...
-const NEAR_LIMIT: f64 = 0.7;
-/// ... and never falls below this share of its start, so that recovery is seen.
-const LIMIT_FLOOR: f64 = 0.3;
 /// A writer reads a prompt itself only where there is room for so many such requests.
 const UNREAD: f64 = 24.0;
 /// A server that turned a request away as full is left alone for this long, so that it is not hammered.
@@ -178,6 +168,7 @@
     /// What may be sent to the cold servers of each role.
     purses: [Purse; 3],
     servers: BTreeMap<ServerId, Server>,
+    reach: Reach,
     jobs: BTreeMap<RequestId, Job>,
     waiting: Vec<RequestId>,
     /// Requests seen of late for each beginning.
@@ -187,8 +178,8 @@
     /// Token buckets of the tenants' shares: what is left, and when that was so.
     tenants: Vec<(f64, Time)>,
     pools: [Pool; 3],
-    /// The limits on reads and on tokens, as multiples of their starts.
-    limits: [f64; 2],
+    /// The limits on reads and on tokens.
+    limits: [Limit; 2],
     born: Option<Time>,
     /// When the list last told of a server that drains.
     drained: Option<Time>,
@@ -196,10 +187,6 @@
     now: Time,
 }
 
-fn blend(old: f64, new: f64, weight: f64) -> f64 {
-    old + weight * (new - old)
-}
-
 fn halved(value: f64, age: Span, half: Span) -> f64 {
     value * 0.5f64.powf(age.secs() / half.secs())
 }
@@ -270,6 +257,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let Rules { cold_share: share, cold, fall_multiple: multiple, .. } = settings.rules;
+        let limit = Limit::new(settings.routers);
         let cold = Cold { share, warm_after: cold.secs(), multiple };
         Ok(Router {
             tenants: vec![(0.0, Time(0)); settings.tenants.len()],
@@ -278,12 +266,13 @@
             cold,
             purses: Default::default(),
             servers: BTreeMap::new(),
+            reach: Reach::default(),
             jobs: BTreeMap::new(),
             waiting: Vec::new(),
             popular: Popular::new(KEPT_FOR.secs(), MOST_TEXTS),
             most: [0; 3],
             pools: Default::default(),
-            limits: [1.0; 2],
+            limits: [limit, limit],
             born: None,
             drained: None,
             list_wait: LIST_RETRY,
@@ -311,10 +300,22 @@
             Event::Timer(TICK_TIMER) => self.tick(out),
             Event::Timer(LIST_TIMER) => out.push(Action::Subscribe),
             Event::Timer(_) => {}
-            Event::Probed { server, ok, report } => self.note_report(server, report.filter(|_| ok)),
+            Event::Probed { server, ok, report } => {
+                self.met(server, ok);
+                self.note_report(server, report.filter(|_| ok));
+            }
         }
     }
 
+    /// Which servers are in reach, as far as this router met them.
+    pub fn reach(&self) -> &Reach {
+        &self.reach
+    }
+
+    fn met(&mut self, at: ServerId, answered: bool) {
+        self.reach.met(at.0, answered, std::time::Duration::from_nanos(self.now.0));
+    }
+
     /// How many listed servers get nothing now: they drain, or were silent, unreachable or full of late.
     pub fn avoided(&self, now: Time) -> usize {
         let listed = self.servers.values().filter(|server| server.member.state != ServerState::Left);
@@ -366,11 +367,16 @@
 
     /// Forgets servers that left once nothing of ours is out there. Guards against growing with each new id.
     fn forget_left(&mut self) {
-        self.servers.retain(|_, server| server.member.state != ServerState::Left || server.attempts > 0);
+        self.servers.retain(|id, server| {
+            let left = server.member.state == ServerState::Left;
+            left.then(|| self.reach.leave(id.0));
+            !left || server.attempts > 0
+        });
     }
 
     fn list(&mut self, entry: &Member) {
         let Some(kind) = self.settings.kinds.get(entry.kind.0) else { return };
+        self.reach.list(entry.server.0, entry.zone.0, entry.state == ServerState::Active);
         if entry.state == ServerState::Leaving {
             self.drained = Some(self.now);
         }
@@ -446,11 +452,9 @@
         }
     }
 
-    /// This router's part of a limit whose start is `start` for all routers, with some allowance for chance:
-    /// the part of a hundredth is well under one request, while requests come whole.
+    /// This router's part of a limit whose start is `start` for all routers.
     fn limit(&self, reads: bool, start: f64, one: f64) -> f64 {
-        let part = start * self.limits[usize::from(!reads)] / f64::from(self.settings.routers);
-        part + CHANCE * (part * one).sqrt()
+        self.limits[usize::from(!reads)].part(start, one)
     }
 
     fn start(&self, server: &Server) -> f64 {
@@ -478,15 +482,7 @@
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&at)) else { return };
         let (reads, one) = (server.role == Role::Reader, unit(server.role, &job.ask));
         let (used, start) = self.out_and_start(reads);
-        let near = used > NEAR_LIMIT * self.limit(reads, start, one);
-        // One answer of the few that one of many routers has tells little.
-        let step = (one * f64::from(self.settings.routers) / start).min(FAULT_EWMA);
-        let limit = &mut self.limits[usize::from(!reads)];
-        if late {
-            *limit = (*limit - step).max(LIMIT_FLOOR);
-        } else if near {
-            *limit = (*limit + LIMIT_GROW * step).min(MOST_GROWTH);
-        }
+        self.limits[usize::from(!reads)].answered(late, used, start, one);
     }
 
     // Choices.
@@ -768,6 +764,7 @@
         }
         job.held = false;
         self.answered(id, at);
+        self.met(at, true);
         self.open_gate(out);
     }
 
@@ -801,6 +798,9 @@
         let was_read = self.take_back(id, at);
         self.note_report(at, report);
         self.judge(id, at, verdict, kept);
+        if self.servers.get(&at).is_some_and(|server| server.heard == self.now) {
+            self.met(at, true);
+        }
         self.forget_left();
         let Some(job) = self.jobs.get_mut(&id) else { return };
         if !was_read && !verdict.never_ran() && job.ran.is_none() {
@@ -829,6 +829,8 @@
     /// What an outcome says of its server.
     fn judge(&mut self, id: RequestId, at: ServerId, verdict: Verdict, kept: Option<f64>) {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get_mut(&at)) else { return };
+        // A client that leaves soon says nothing of its server.
+        let soon = job.stage == Stage::Over && self.now - job.sent <= job.patience;
         let (now, silent) = (self.now, server.heard < job.sent);
         match verdict {
             Verdict::Read => {
@@ -850,18 +852,19 @@
                 server.out_until = server.out_until.max(now + FULL_PAUSE);
                 self.adapt(id, at, true);
             }
-            Verdict::Timeout | Verdict::Cancelled => {
+            Verdict::Timeout | Verdict::Cancelled if !soon => {
                 server.judge(now, 1.0 - SLOW_FROM / PATIENCE);
                 if silent {
                     self.shut_out(at);
                 }
             }
             Verdict::NoRoute => self.shut_out(at),
-            Verdict::Closed | Verdict::Moot | Verdict::Expired => {}
+            _ => {}
         }
     }
 
     fn shut_out(&mut self, at: ServerId) {
+        self.met(at, false);
         let Some(server) = self.servers.get_mut(&at).filter(|s| s.out_until <= self.now) else { return };
         server.out_until = self.now + server.out_span;
         server.out_span = (server.out_span + server.out_span).min(LONGEST_OUT);
