--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -101,6 +101,54 @@
     })
 }
 
+/// Puts objects together that come over several lines: lists may come indented. Guards against a list that is dropped
+/// line by line, and against one that broke off and swallows those after it: an object begins with its brace in the
+/// first column, and an empty line ends whatever was begun.
+#[derive(Default)]
+struct Indented {
+    held: Vec<u8>,
+    depth: usize,
+    in_text: bool,
+    escaped: bool,
+}
+
+impl Indented {
+    /// Hears a line; gives each text that has ended, whole or not.
+    fn line(&mut self, line: &[u8], mut ended: impl FnMut(&[u8])) {
+        let empty = line.trim_ascii().is_empty();
+        if empty || line.first() == Some(&b'{') {
+            self.end(&mut ended);
+        }
+        if empty {
+            return;
+        }
+        for byte in line {
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.in_text => self.escaped = true,
+                b'"' => self.in_text = !self.in_text,
+                b'{' | b'[' if !self.in_text => self.depth += 1,
+                b'}' | b']' if !self.in_text => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+        }
+        if self.held.is_empty() && self.depth == 0 {
+            return ended(line);
+        }
+        self.held.extend_from_slice(line);
+        if self.depth == 0 || self.held.len() > LONGEST_LINE {
+            self.end(&mut ended);
+        }
+    }
+
+    fn end(&mut self, ended: &mut impl FnMut(&[u8])) {
+        let text = std::mem::take(self).held;
+        if !text.is_empty() {
+            ended(&text);
+        }
+    }
+}
+
 /// Waits until another source of the list is told.
 async fn moved<T>(told: &mut watch::Receiver<T>) {
     if told.changed().await.is_err() {
@@ -145,3 +193,33 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn heard(lines: &str) -> Vec<String> {
+        let (mut texts, mut indented) = (Vec::new(), Indented::default());
+        for line in lines.split_inclusive('\n') {
+            indented
+                .line(line.as_bytes(), |text| texts.push(String::from_utf8_lossy(text).trim().to_owned()));
+        }
+        texts
+    }
+
+    #[test]
+    fn objects_over_several_lines_are_put_together() {
+        let one = r#"{"revision":1,"complete":true,"members":[]}"#;
+        assert_eq!(heard(&format!("{one}\n\n{one}\n")), [one, one]);
+        let object = "{\n  \"a\": [\n    {\"b\": \"}]\\\"{\"}\n  ]\n}";
+        assert_eq!(heard(&format!("{object}\n{one}\n{object}\n")), [object, one, object]);
+    }
+
+    #[test]
+    fn one_that_broke_off_swallows_none_after_it() {
+        let one = r#"{"revision":1}"#;
+        assert_eq!(heard(&format!("{{\"a\": [\n  1,\n{one}\n")), ["{\"a\": [\n  1,", one]);
+        assert_eq!(heard(&format!("{{\"a\": \"x\n\n{one}\n")), ["{\"a\": \"x", one]);
+        assert_eq!(heard("no list\n]\n"), ["no list", "]"]);
+    }
+}
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -1,6 +1,6 @@
 //! The platform's discovery: one watch that stays open, opened again when it ends.
 
-use super::{Update, Wire, moved, read_lines, watcher};
+use super::{Indented, Update, Wire, moved, read_lines, watcher};
 use crate::log;
 use fawnstream_fleet::calls::{Call, Calls};
 use std::net::SocketAddr;
@@ -67,17 +67,16 @@
         Ok(Err(_)) => return "no-connection",
         Err(_) => return "silent",
     };
+    let mut indented = Indented::default();
     read_lines(&mut answer, SILENCE, |line| {
         *stood = true;
-        if !line.trim_ascii().is_empty() {
-            take(line, from, hear);
-        }
+        indented.line(line, |text| take(text, from, hear));
         Ok(())
     })
     .await
 }
 
-/// One line of the watch. Garbage is dropped: the list stays as it was.
+/// One piece of news. Garbage is dropped: the list stays as it was.
 fn take(line: &[u8], from: &mut u64, hear: &mut impl FnMut(Update)) {
     match serde_json::from_slice::<Wire>(line) {
         Ok(wire) => {
