--- a/holds/benches/holds.rs
+++ b/holds/benches/holds.rs
@@ -8,18 +8,15 @@
     divan::main();
 }
 
-const TERMS: Terms = Terms {
-    within: Duration::from_millis(500),
-    grace: Duration::from_millis(300),
-    at_once: 27,
-    seed: 1,
-};
+const TERMS: Terms =
+    Terms { within: Duration::from_millis(500), grace: Duration::from_millis(300), at_once: 27, seed: 1 };
 
 /// Each request's state is held, so late that none falls due.
 fn full(servers: u64, held: u64) -> (Holds<u64>, Reach) {
     let (mut holds, mut reach) = (Holds::new(TERMS), Reach::default());
     (0..servers).for_each(|server| reach.join(server, server as usize % 3));
-    (0..held).for_each(|request| holds.read(request, &request, request % servers, Duration::from_secs(3_600)));
+    (0..held)
+        .for_each(|request| holds.read(request, &request, request % servers, Duration::from_secs(3_600)));
     (holds, reach)
 }
 
