--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -13,6 +13,11 @@
     routers: Vec<Bench>,
     /// When each server was sent something.
     sends: BTreeMap<u64, Vec<u64>>,
+    /// Attempts made of each request.
+    attempts: BTreeMap<u64, u32>,
+    /// Servers that cannot be reached.
+    lost: Vec<u64>,
+    served: usize,
     now: u64,
     id: u64,
 }
@@ -35,7 +40,8 @@
                 Bench::new(told, members.clone())
             })
             .collect();
-        Fleet { routers, sends: BTreeMap::new(), now: 1_000 * MS, id: 0 }
+        let (sends, attempts, lost) = Default::default();
+        Fleet { routers, sends, attempts, lost, served: 0, now: 1_000 * MS, id: 0 }
     }
 
     fn tell(&mut self, entries: &[Member]) {
@@ -56,13 +62,19 @@
                 bench.now = self.now;
                 let mut acts = bench.hear(Event::Timer(TimerId(1)));
                 acts.extend(bench.ask_session(self.id, self.id, Some(self.id % 4)));
-                while let Some(Action::Send { request, server, .. }) = acts.pop() {
+                while let Some(act) = acts.pop() {
+                    let Action::Send { request, server, .. } = act else { continue };
                     self.sends.entry(server.0).or_default().push(self.now);
-                    if server.0 <= READERS || server.0 > 200 {
-                        acts.extend(bench.end(request.0, 0, Verdict::Read));
+                    let attempt = self.attempts.entry(request.0).or_default();
+                    *attempt += 1;
+                    if self.lost.contains(&server.0) {
+                        acts.extend(bench.end(request.0, *attempt - 1, Verdict::NoRoute));
+                    } else if server.0 <= READERS || server.0 > 200 {
+                        acts.extend(bench.end(request.0, *attempt - 1, Verdict::Read));
                     } else {
-                        acts.extend(bench.first(request.0, 1));
-                        acts.extend(bench.end(request.0, 1, Verdict::Ok));
+                        self.served += 1;
+                        acts.extend(bench.first(request.0, *attempt - 1));
+                        acts.extend(bench.end(request.0, *attempt - 1, Verdict::Ok));
                     }
                 }
             }
@@ -155,6 +167,40 @@
     }
 }
 
+/// A zone is lost for 5 s and comes back cold, all at once: the others serve meanwhile, few attempts are made there, and
+/// on its return it is neither pushed over nor shunned.
+#[test]
+fn a_zone_that_is_lost_and_back_cold_is_found_and_used_again() {
+    for count in [100, 350] {
+        let mut fleet = Fleet::with(count, 4.0);
+        fleet.run(10);
+        // Of five zones the one with readers 1 and 2, and writers 101 and 102.
+        fleet.lost = vec![1, 2, 101, 102];
+        let (cut, served) = (fleet.now, fleet.served);
+        fleet.run(5);
+        let asked = count as usize * 5;
+        assert!(
+            fleet.served - served > asked * 9 / 10,
+            "{count} routers: {} of {asked}",
+            fleet.served - served
+        );
+        let vain: usize = [1, 2, 101, 102].map(|server| fleet.sent_since(server, cut).0).iter().sum();
+        println!("{count} routers: {vain} in vain of {asked}, {} served", fleet.served - served);
+        // Without what was learnt a fifth of all reads and a fifth of all writes would go there.
+        assert!(vain < asked / 5, "{count} routers: {vain} attempts in vain of {asked} requests");
+        fleet.lost.clear();
+        let back = fleet.now;
+        let entries = [1, 2].map(|server| fleet.restarted(server));
+        fleet.tell(&entries);
+        fleet.run(8);
+        for server in [1, 2] {
+            let (all, most) = fleet.sent_since(server, back);
+            assert!(all > 0, "{count} routers: {server} is used again");
+            assert!(most <= budget(count) * 4 / 3, "{count} routers: {most} sends to {server} in 2 s");
+        }
+    }
+}
+
 #[test]
 fn a_drained_server_gets_nothing_from_any_router() {
     for count in [100, 350, 1_024] {
