Tell a server that refuses from one that cannot be reached, and from one that has a long line

Change: only a connection that does not come up speaks against its zone. A server that refuses one speaks against itself and for its zone's network (`Verdict::Refused`); one that does not answer in time against itself.

--- a/fleet/src/reach.rs
+++ b/fleet/src/reach.rs
@@ -43,6 +43,19 @@
     failed: Option<Duration>,
 }
 
+/// What became of a try to reach a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Met {
+    /// It answered something.
+    Answered,
+    /// Its machine refused the connection, as one does whose process has ended.
+    Refused,
+    /// It took a request and said nothing in time: it hangs, or is cut off, or has a long line.
+    Unanswered,
+    /// Its connection did not come up: the machine has vanished or is cut off.
+    Unreachable,
+}
+
 /// What is believed of all servers. Bounded by the list: who leaves it is forgotten.
 #[derive(Debug, Default)]
 pub struct Reach {
@@ -104,9 +117,25 @@
         self.servers.is_empty()
     }
 
-    /// A server answered something, or could not be reached or said nothing.
-    pub fn met(&mut self, id: u64, answered: bool, now: Duration) {
-        if answered { self.heard(id, now) } else { self.failed(id, now) }
+    /// A server was met.
+    pub fn met(&mut self, id: u64, how: Met, now: Duration) {
+        match how {
+            Met::Answered => self.heard(id, now),
+            Met::Refused | Met::Unanswered => self.doubted(id, how, now),
+            Met::Unreachable => self.failed(id, now),
+        }
+    }
+
+    /// What speaks against a server alone. One that refuses a connection shows that its zone's network is well.
+    fn doubted(&mut self, id: u64, how: Met, now: Duration) {
+        let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
+        (server.heard, server.failed) = (None, Some(now));
+        if how == Met::Refused {
+            let zone = self.zones.entry(server.zone).or_default();
+            zone.fade(now);
+            zone.good += 1.0;
+        }
+        self.recent.retain(|recent| *recent != id);
     }
 
     /// A server answered something.
@@ -125,7 +154,7 @@
         }
     }
 
-    /// A server could not be reached, or said nothing.
+    /// A server's connection did not come up.
     pub fn failed(&mut self, id: u64, now: Duration) {
         let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
         server.failed = Some(now);
@@ -225,6 +254,18 @@
         assert!(reach.doubt(33, 2 * SECOND) < 0.1, "its own answer says more");
     }
 
+    /// A process that ended, or has a long line, says nothing against its zone.
+    #[test]
+    fn servers_that_refuse_or_do_not_answer_speak_against_themselves_alone() {
+        for how in [Met::Refused, Met::Unanswered] {
+            let mut reach = three_zones(30);
+            reach.heard(0, SECOND);
+            (0..5).for_each(|n| reach.met(3 * n, how, SECOND));
+            assert!(reach.doubt(0, SECOND) > 0.9 && reach.doubt(27, SECOND) == 0.0, "{how:?}");
+            assert!(!reach.recent.contains(&0));
+        }
+    }
+
     #[test]
     fn one_failure_says_little_of_the_others() {
         let mut reach = three_zones(30);
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -549,9 +549,10 @@
 fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, &'static str) {
     match error {
         // Another server may still take it: nothing ran.
-        _ if lane.refused() => (Verdict::NoRoute, "draining"),
+        _ if lane.refused() => (Verdict::Refused, "draining"),
         SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
-        _ if !lane.written() => (Verdict::NoRoute, "no-connection"),
+        // Refused, or reset before it was written whole: a machine that vanished says nothing.
+        _ if !lane.written() => (Verdict::Refused, "no-connection"),
         // A process that dies resets its connections; this one lives, and could not read what came.
         _ if lane.ended() => (Verdict::Closed, "closed"),
         SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, "reset"),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -328,6 +328,8 @@
     Timeout,
     /// No connection; it never ran.
     NoRoute,
+    /// No connection, for the server's machine refused it; it never ran.
+    Refused,
     /// The connection broke; it may have run.
     Reset,
     /// The server ended the connection in order, without a word: it may have run, and nothing speaks against the
@@ -344,8 +346,8 @@
 impl Verdict {
     /// The attempt proves that nothing ran at its server, or ran to no effect.
     pub fn never_ran(self) -> bool {
-        use Verdict::{Expired, Full, Moot, NoRoute, NoState, Read};
-        matches!(self, Full | NoState | NoRoute | Moot | Read | Expired)
+        use Verdict::{Expired, Full, Moot, NoRoute, NoState, Read, Refused};
+        matches!(self, Full | NoState | NoRoute | Refused | Moot | Read | Expired)
     }
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,10 +6,9 @@
 
 use crate::interface::*;
 use fawnstream_fleet::chance::{blend, fraction, mix};
-use fawnstream_fleet::{cold::Cold, cold::Purse, limit::Limit, popular::Popular, reach::Reach, reach::View};
-use fawnstream_fleet::{kept, kept::Kept};
-use std::collections::BTreeMap;
-use std::time::Duration;
+use fawnstream_fleet::reach::{Met, Reach, View};
+use fawnstream_fleet::{cold::Cold, cold::Purse, kept, kept::Kept, limit::Limit, popular::Popular};
+use std::{collections::BTreeMap, time::Duration};
 
 /// A beginning has one home, and one more for so many readers: a number that all routers agree on, so that
 /// sessions stay put; or so many for each reader's part that it has of own requests, where that is more.
@@ -290,7 +289,7 @@
             Event::Timer(LIST_TIMER) => out.push(Action::Subscribe),
             Event::Timer(_) => {}
             Event::Probed { server, ok, report } => {
-                self.met(server, ok);
+                self.met(server, if ok { Met::Answered } else { Met::Unanswered });
                 self.note_report(server, report.filter(|_| ok));
             }
         }
@@ -301,8 +300,8 @@
         &self.reach
     }
 
-    fn met(&mut self, at: ServerId, answered: bool) {
-        self.reach.met(at.0, answered, Duration::from_nanos(self.now.0));
+    fn met(&mut self, at: ServerId, how: Met) {
+        self.reach.met(at.0, how, Duration::from_nanos(self.now.0));
     }
 
     /// How many listed servers get nothing now: they drain, or were silent, unreachable or full of late.
@@ -766,7 +765,7 @@
         }
         job.held = false;
         self.answered(id, at);
-        self.met(at, true);
+        self.met(at, Met::Answered);
         self.open_gate(out);
     }
 
@@ -801,7 +800,7 @@
         self.note_report(at, report);
         self.judge(id, at, verdict, kept);
         if self.servers.get(&at).is_some_and(|server| server.heard == self.now) {
-            self.met(at, true);
+            self.met(at, Met::Answered);
         }
         self.forget_left();
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -857,16 +856,17 @@
             Verdict::Timeout | Verdict::Cancelled if !soon => {
                 server.judge(now, 1.0 - SLOW_FROM / PATIENCE);
                 if silent {
-                    self.shut_out(at);
+                    self.shut_out(at, Met::Unanswered);
                 }
             }
-            Verdict::NoRoute => self.shut_out(at),
+            Verdict::NoRoute => self.shut_out(at, Met::Unreachable),
+            Verdict::Refused => self.shut_out(at, Met::Refused),
             _ => {}
         }
     }
 
-    fn shut_out(&mut self, at: ServerId) {
-        self.met(at, false);
+    fn shut_out(&mut self, at: ServerId, how: Met) {
+        self.met(at, how);
         let Some(server) = self.servers.get_mut(&at).filter(|s| s.out_until <= self.now) else { return };
         server.out_until = self.now + server.out_span;
         server.out_span = (server.out_span + server.out_span).min(LONGEST_OUT);
@@ -986,7 +986,7 @@
                 out.push(Action::Cancel { request: *id, attempt: Attempt(job.attempts - 1) });
             }
         }
-        silent.into_iter().for_each(|at| self.shut_out(at));
+        silent.into_iter().for_each(|at| self.shut_out(at, Met::Unanswered));
     }
 
     /// Refuses waiting requests that can no longer be in time; early, so that nothing is spent on them.
