Believe in a restarted server anew; look nothing up where nothing has failed of late

Servers restart there under their ids: the module judges a restarted process anew, while the belief that it cannot be reached stayed, and weighed for seconds after the time for which it is shut out.

Tests: a_restarted_server_is_believed_in_anew.

--- a/fleet/src/reach.rs
+++ b/fleet/src/reach.rs
@@ -7,6 +7,8 @@
 
 /// A failure or an answer loses half its weight in this time: a cut is noticed, and its end.
 const HALF: Duration = Duration::from_millis(2_000);
+/// After so many of these nothing is left of it.
+const FORGOTTEN: u32 = 10;
 /// As if so many answers had come from a zone before: one failure says little of its other servers.
 const FEW: f64 = 2.0;
 /// Servers drawn for a choice, and answering ones that are remembered for it. With a third of all out of reach one
@@ -39,6 +41,7 @@
 struct Server {
     id: u64,
     zone: usize,
+    start: u64,
     heard: Option<Duration>,
     failed: Option<Duration>,
 }
@@ -63,12 +66,22 @@
     places: HashMap<u64, usize>,
     zones: BTreeMap<usize, Count>,
     recent: VecDeque<u64>,
+    /// When anything spoke against a server last.
+    last: Option<Duration>,
 }
 
 impl Reach {
-    /// What the list says of a server: whether it takes new work.
-    pub fn list(&mut self, id: u64, zone: usize, active: bool) {
-        if active { self.join(id, zone) } else { self.leave(id) }
+    /// What the list says of a server: whether it takes new work, and when it started. What was thought of the process
+    /// before that is void.
+    pub fn list(&mut self, id: u64, zone: usize, active: bool, start: u64) {
+        let old = self.places.get(&id).is_some_and(|place| self.servers[*place].start < start);
+        if old || !active {
+            self.leave(id);
+        }
+        if active {
+            self.join(id, zone);
+            self.servers[self.places[&id]].start = start;
+        }
     }
 
     /// A server is listed. One that is known already stays as it is, but for its zone.
@@ -82,7 +95,7 @@
             None => {
                 self.zones.entry(zone).or_default().servers += 1;
                 self.places.insert(id, self.servers.len());
-                self.servers.push(Server { id, zone, heard: None, failed: None });
+                self.servers.push(Server { id, zone, start: 0, heard: None, failed: None });
             }
         }
     }
@@ -129,7 +142,7 @@
     /// What speaks against a server alone. One that refuses a connection shows that its zone's network is well.
     fn doubted(&mut self, id: u64, how: Met, now: Duration) {
         let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
-        (server.heard, server.failed) = (None, Some(now));
+        (server.heard, server.failed, self.last) = (None, Some(now), Some(now));
         if how == Met::Refused {
             let zone = self.zones.entry(server.zone).or_default();
             zone.fade(now);
@@ -157,7 +170,7 @@
     /// A server's connection did not come up.
     pub fn failed(&mut self, id: u64, now: Duration) {
         let Some(server) = self.places.get(&id).map(|place| &mut self.servers[*place]) else { return };
-        server.failed = Some(now);
+        (server.failed, self.last) = (Some(now), Some(now));
         let zone = self.zones.entry(server.zone).or_default();
         zone.fade(now);
         zone.bad += 1.0;
@@ -210,6 +223,10 @@
 impl View<'_> {
     /// How much speaks against reaching a server, 0 to 1; nothing does for one that is not known.
     pub fn doubt(&self, id: u64) -> f64 {
+        // On most days nothing fails, and no server has to be looked up.
+        if self.reach.last.is_none_or(|last| self.now.saturating_sub(last) > HALF * FORGOTTEN) {
+            return 0.0;
+        }
         let Some(place) = self.reach.places.get(&id) else { return 0.0 };
         let server = &self.reach.servers[*place];
         let age = |at: Duration| self.now.saturating_sub(at).as_secs_f64() / HALF.as_secs_f64();
@@ -274,6 +291,18 @@
         assert!(reach.doubt(3, SECOND) < 0.4);
     }
 
+    #[test]
+    fn a_restarted_server_is_believed_in_anew() {
+        let mut reach = three_zones(30);
+        reach.met(5, Met::Refused, SECOND);
+        reach.list(5, 2, true, 0);
+        assert!(reach.doubt(5, SECOND) > 0.9, "the same process");
+        reach.list(5, 2, true, 7);
+        assert_eq!((reach.doubt(5, SECOND), reach.len()), (0.0, 30));
+        reach.list(5, 2, false, 7);
+        assert_eq!(reach.len(), 29);
+    }
+
     #[test]
     fn what_fails_in_all_zones_alike_speaks_against_none() {
         let mut reach = three_zones(30);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -365,10 +365,10 @@
 
     fn list(&mut self, entry: &Member) {
         let Some(kind) = self.settings.kinds.get(entry.kind.0) else { return };
-        self.reach.list(entry.server.0, entry.zone.0, entry.state == ServerState::Active);
-        if entry.state == ServerState::Leaving {
-            self.drained = Some(self.now);
-        }
+        let (active, start) = (entry.state == ServerState::Active, entry.up_since.map_or(0, |up| up.0));
+        self.reach.list(entry.server.0, entry.zone.0, active, start);
+        let drains = entry.state == ServerState::Leaving;
+        self.drained = drains.then_some(self.now).or(self.drained);
         let old = self.servers.get_mut(&entry.server);
         if let Some(server) = old.filter(|old| entry.up_since <= old.member.up_since) {
             server.member.state = entry.state;
