--- a/holds/src/lib.rs
+++ b/holds/src/lib.rs
@@ -207,11 +207,6 @@
         self.holds.is_empty()
     }
 
-    /// Of these, the ones that are being released.
-    pub fn releasing(&self) -> usize {
-        self.times.len().max(self.line.len())
-    }
-
     /// Requests of which something was held past its time, ever.
     pub fn late(&self) -> u64 {
         self.late
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -12,7 +12,7 @@
 use fawnstream_ledger::entry::Tokens;
 use shedrelay::*;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
@@ -387,7 +387,8 @@
             let mut list = self.list.borrow_mut();
             let now = Instant::now();
             if update.complete {
-                let named: Vec<ServerId> = update.entries.iter().map(|e| server_id(&e.id)).collect();
+                // A set: each known server is looked up in it, at 1,024 of them as at ten.
+                let named: HashSet<ServerId> = update.entries.iter().map(|e| server_id(&e.id)).collect();
                 for (id, server) in list.iter().filter(|(id, _)| !named.contains(id)) {
                     tell(server, now);
                     gone.push((*id, server.clone()));
