Keep beginnings at few homes, weigh load less, and give busy routers their part of limits

Lines: `homes` gave each beginning one home for every eight readers, eleven of 88, in a fleet with thousands of beginnings asked for a few times each: each home reads it anew. `best_match` weighed load and own reads like match, so that a text was read again for a shorter line. `limit` gave each router an even part, whatever it is asked for.

Now a beginning has one home and more by its likely part (`Popular::likely`: like the others until its own requests say more), load weighs half and own reads 0.1, and a router's part of the limits follows its part of the customers' shares.

--- a/fleet/src/limit.rs
+++ b/fleet/src/limit.rs
@@ -16,6 +16,18 @@
 /// sample where there are few.
 const LARGEST_STEP: f64 = 0.25;
 
+/// When all routers are overloaded, clients try again: so many times the customers' shares come to each alike.
+const CROWD: f64 = 2.5;
+
+/// How many routers' even part one router has to do, one at least, from the requests a second that come to it and the
+/// customers' shares together: traffic is uneven, and one that gets twenty times the mean would refuse most of it.
+/// What all may have out together stays under twice the limit, whatever the traffic: the parts' sum is bounded by the
+/// routers, and by all requests over those that the shares tell of.
+pub fn weight(rate: f64, shares: f64, routers: u32) -> f64 {
+    let routers = f64::from(routers.max(1));
+    if shares > 0.0 { (rate * routers / (shares * CROWD)).clamp(1.0, routers) } else { 1.0 }
+}
+
 /// One router's part of a limit.
 #[derive(Clone, Copy, Debug)]
 pub struct Limit {
@@ -67,6 +79,23 @@
         assert!(limit.part(100.0, 1.0) < 5.0 * start);
     }
 
+    /// Uneven traffic of as much as all are ever asked for: the parts come to twice the limit at most, and a router
+    /// that gets most of it has its part.
+    #[test]
+    fn parts_follow_uneven_traffic_and_their_sum_stays_bounded() {
+        for routers in [3u32, 48, 350, 1_024] {
+            let raw: Vec<f64> = (0..routers).map(|n| 1.0 / f64::from(n + 1)).collect();
+            let (all, shares) = (raw.iter().sum::<f64>(), 200.0);
+            let weights = raw.iter().map(|r| weight(r / all * shares * CROWD, shares, routers));
+            let sum = weights.clone().sum::<f64>();
+            assert!(sum <= 2.0 * f64::from(routers), "{sum} for {routers}");
+            let first = weights.max_by(f64::total_cmp).unwrap();
+            assert!(routers < 48 || first > 5.0, "{first} of {routers}");
+        }
+        assert_eq!(weight(100.0, 0.0, 300), 1.0, "no shares are told");
+        assert_eq!(weight(1e9, 1.0, 7), 7.0);
+    }
+
     #[test]
     fn one_answer_moves_one_of_many_routers_by_a_quarter_at_most() {
         let mut limit = Limit::new(300);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -8,13 +8,11 @@
 use fawnstream_fleet::chance::{blend, fraction, mix};
 use fawnstream_fleet::reach::{Met, Reach, View};
 use fawnstream_fleet::{Cell, Cold, Fault, Kept, Limit, Popular, Purse, Quota, Told};
-use fawnstream_fleet::{cells, cold::younger, homes, kept, told};
+use fawnstream_fleet::{cells, cold::younger, homes, kept, limit, told};
 use std::{collections::BTreeMap, time::Duration};
 
-/// A beginning has one home, and one more for so many readers: a number that all routers agree on, so that
-/// sessions stay put; or so many for each reader's part that it has of own requests, where that is more.
-const HOMES: f64 = 8.0;
-const HOT_HOMES: f64 = 2.0;
+/// A beginning has one home, and so many more for each reader's part of all requests that it has.
+const HOMES: f64 = 4.0;
 /// How often waiting requests and silent servers are looked at; well under any release or aim.
 const TICK: Span = Span::from_millis(40);
 /// A request still waiting this long before its client gives up is answered, so that the answer is in time.
@@ -58,9 +56,10 @@
 /// First exclusion of a silent or unreachable server; doubles up to the longest while it stays so.
 const FIRST_OUT: Span = Span::from_millis(1_500);
 const LONGEST_OUT: Span = Span::from_millis(6_000);
-/// How heavily what our reads still have to read at a reader weighs, in parts of the prompt: no report knows
-/// of it yet. Guards against piling reads up at one; more would read too much anew under overload.
-const BACKLOG: f64 = 0.3;
+/// How heavily a reader's load weighs against match: what is read anew for a shorter line is read by all.
+const LOAD_WEIGHT: f64 = 0.5;
+/// The same for what our reads still have to read there, in parts of the prompt: no report knows of it yet.
+const BACKLOG: f64 = 0.1;
 /// A release goes on until no drain was told of for so long ...
 const RELEASE_LASTS: Span = Span::from_millis(10_000);
 /// ... and meanwhile the writer that ran longest counts as fuller by this share of its memory.
@@ -187,6 +186,7 @@
     pools: [Pool; 3],
     /// The limits on reads and on tokens.
     limits: [Limit; 2],
+    weight: f64,
     born: Option<Time>,
     /// When the list last told of a server that drains.
     drained: Option<Time>,
@@ -241,7 +241,7 @@
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.check()?;
         let Rules { cold_share: share, cold, fall_multiple: multiple, .. } = settings.rules;
-        let limit = Limit::new(settings.routers);
+        let part = Limit::new(settings.routers);
         let cold = Cold { share, warm_after: cold.secs(), multiple };
         Ok(Router {
             tenants: vec![Quota::default(); settings.tenants.len()],
@@ -256,7 +256,8 @@
             popular: Popular::new(kept::FOR, kept::MOST),
             most: [0; 3],
             pools: Default::default(),
-            limits: [limit, limit],
+            limits: [part, part],
+            weight: 1.0,
             born: None,
             drained: None,
             list_wait: LIST_RETRY,
@@ -315,11 +316,8 @@
         let reach = self.view();
         let score = |(id, server): (ServerId, &Server)| {
             let mean = means[usize::from(server.role == Role::Mixed)];
-            (
-                id,
-                -RELEASE_WEIGHT * younger(&starts[server.role as usize], &server.member.up_since)
-                    - self.fullness(server, mean, &reach),
-            )
+            let soon = RELEASE_WEIGHT * younger(&starts[server.role as usize], &server.member.up_since);
+            (id, -soon - self.fullness(server, mean, &reach))
         };
         best(among.iter().filter_map(usable).map(score)).map(|(id, _)| id)
     }
@@ -470,7 +468,8 @@
     }
 
     fn start(&self, server: &Server) -> f64 {
-        if server.role == Role::Reader { START_READS } else { START_FILL * server.memory }
+        let start = if server.role == Role::Reader { START_READS } else { START_FILL * server.memory };
+        start * self.weight
     }
 
     /// What is out at the readers or at the others, and what the usable ones start with. A request that is
@@ -517,7 +516,10 @@
             };
             peers().filter(|(_, s)| s.usable(self.now)).map(see).collect()
         });
-        Look { seen, cells: self.cells(), out: [true, false].map(|reads| self.out_and_start(reads)) }
+        let reads = |role| (role != Role::Mixed).then_some(role == Role::Reader);
+        let usable = self.servers.values().filter(|s| s.usable(self.now));
+        let cells = cells(usable.map(|s| (s.member.cell.0, reads(s.role))));
+        Look { seen, cells, out: [true, false].map(|reads| self.out_and_start(reads)) }
     }
 
     /// Servers of a role that may be used; of cold ones those that the request draws, while this router's
@@ -534,7 +536,8 @@
         // anew; but no more together than half of one server's even part of all requests.
         let warm = among.iter().any(|(_, warmth)| *warmth >= 1.0);
         let session = mix(job.ask.session.map_or(job.ask.id.0, |key| key.0));
-        let groups = ((self.part(job) * 2.0 * all.len() as f64) as u64).max(1).next_power_of_two();
+        let part = job.ask.prefix.map_or(0.0, |key| self.popular.part(self.secs(), key.0));
+        let groups = ((part * 2.0 * all.len() as f64) as u64).max(1).next_power_of_two();
         let held = self.purses[role as usize].holds(self.secs(), self.pace(role), self.settings.routers);
         let key = job.ask.prefix.filter(|_| warm).map_or(session, |key| key.0 ^ (session & (groups - 1)));
         let mut open = self.cold.draw(key, &among, held >= 1.0).into_iter();
@@ -582,17 +585,12 @@
             let match_ = seen.server.believed(&job.ask, self.now, homes.contains(&seen.id.0)) / prompt;
             let tie = 1e-3 * fraction(session ^ mix(seen.id.0));
             let queued = seen.server.unread * BACKLOG / prompt;
-            (seen.id, match_ - seen.load - queued + tie)
+            (seen.id, match_ - LOAD_WEIGHT * seen.load - queued + tie)
         };
         let (id, _) = best(among.iter().map(score))?;
         Some((id, self.servers[&id].believed(&job.ask, self.now, homes.contains(&id.0))))
     }
 
-    /// The part of this router's requests of late that begin as this one does; the first few say little.
-    fn part(&self, job: &Job) -> f64 {
-        job.ask.prefix.map_or(0.0, |key| self.popular.part(self.secs(), key.0))
-    }
-
     /// The servers that count as holding a request's beginning: the first in its rendezvous order, more of
     /// the larger its part of the requests. All routers agree on the order and on which of them a session's
     /// hash picks. Guards against a hot beginning at one home; where chance makes a part look large at one
@@ -604,7 +602,8 @@
                 look.cells.get(&seen.server.member.cell.0).filter(|_| seen.server.role == Role::Reader);
             (seen.id.0, cell.map_or(1.0, |cell| cell.weight))
         };
-        let most = 1 + ((self.part(job) * HOT_HOMES).max(1.0 / HOMES) * among.len() as f64) as usize;
+        let part = self.popular.likely(self.secs(), key.0);
+        let most = 1 + (part * HOMES * among.len() as f64) as usize;
         homes(key.0, among.iter().map(weight), most)
     }
 
@@ -623,12 +622,6 @@
         server.fault.now(self.secs()).max(reach.doubt(server.member.server.0))
     }
 
-    fn cells(&self) -> BTreeMap<u64, Cell> {
-        let reads = |role| (role != Role::Mixed).then_some(role == Role::Reader);
-        let usable = self.servers.values().filter(|s| s.usable(self.now));
-        cells(usable.map(|s| (s.member.cell.0, reads(s.role))))
-    }
-
     /// The writer with most room, in the reader's cell unless another has far more. Where a cell's readers
     /// are more than its writers' part, the rest of the requests spills to cells with fewer.
     fn best_writer(&self, job: &Job, look: &Look) -> Option<(ServerId, f64)> {
@@ -944,6 +937,9 @@
     fn tick(&mut self, out: &mut Vec<Action>) {
         out.push(Action::Timer { timer: TICK_TIMER, after: TICK });
         if !self.jobs.is_empty() {
+            let rate = self.popular.rate(self.secs(), (self.born.unwrap_or(self.now) - Time(0)).secs());
+            let shares = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s);
+            self.weight = limit::weight(rate, shares.sum(), self.settings.routers);
             self.find_silent(out);
             self.turn_away(out);
             self.open_gate(true, out);
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -625,3 +625,41 @@
     let full = cost(&mut bench, 10_000);
     assert!(full < empty * 20, "{full:?} with 200 in line, {empty:?} with none");
 }
+
+/// Guards against beginnings that each router reads anew at other servers: with many that are asked for seldom, routers
+/// that have seen different ones send the same beginning to the same reader.
+#[test]
+fn a_beginning_that_is_asked_for_seldom_has_one_home_at_all_routers() {
+    let fleet = || (0..80).map(|n| member(n + 1, (n % 2) as usize, n / 10)).collect::<Vec<_>>();
+    let mut told = settings(Effect::Safe);
+    told.routers = 300;
+    let (mut one, mut other) = (Bench::new(told.clone(), fleet()), Bench::new(told, fleet()));
+    for id in 1..60 {
+        serve(&mut one, id, Some(1_000 + id), 5);
+        serve(&mut other, id, Some(2_000 + id), 5);
+    }
+    let same = |key: &u64| serve(&mut one, *key, Some(*key), 5) == serve(&mut other, *key, Some(*key), 5);
+    let same = (5_000..5_100u64).filter(same).count();
+    assert!(same >= 95, "{same} of 100 at one home");
+}
+
+/// Guards against a router with twenty times the mean of requests that refuses most of them while readers are idle.
+#[test]
+fn a_router_that_is_asked_for_most_is_not_held_to_its_even_part() {
+    let out = |quota_per_s: f64| {
+        let fleet = (0..40).map(|n| member(n + 1, (n % 2) as usize, n / 10)).collect();
+        let mut told = settings(Effect::Safe);
+        told.routers = 300;
+        told.tenants = vec![Tenant { quota_per_s }];
+        let mut bench = Bench::new(told, fleet);
+        let mut sent = 0;
+        // Fifty a second, none of them answered yet.
+        for id in 1..=50 {
+            sent += sent_to(&bench.ask(id, None)).len();
+            sent += sent_to(&bench.wait(20)).len();
+        }
+        sent
+    };
+    let (even, uneven) = (out(50.0 * 300.0), out(300.0));
+    assert!(uneven > 2 * even, "{uneven} where all are asked for one a second each, {even} where for fifty");
+}
