--- a/src/logic.rs
+++ b/src/logic.rs
@@ -59,7 +59,7 @@
 /// How heavily a reader's load weighs against match: what is read anew for a shorter line is read by all.
 const LOAD_WEIGHT: f64 = 0.5;
 /// The same for what our reads still have to read there, in parts of the prompt: no report knows of it yet.
-const BACKLOG: f64 = 0.1;
+const BACKLOG: f64 = 0.15;
 /// A release goes on until no drain was told of for so long ...
 const RELEASE_LASTS: Span = Span::from_millis(10_000);
 /// ... and meanwhile the writer that ran longest counts as fuller by this share of its memory.
