Give a silent watch one budget within 6 s: three calls where lists are pushed

Seen in the code, not in a log: `SILENCE` 4.2 s, then a wait of up to 0.45 s, then `HEAD` 3.6 s for a first new call that hangs, come to 8.3 s, and what a silent watch misses counts as told after 6 s.

--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -116,6 +116,10 @@
         None => None,
     };
     let calls = fawnstream_fleet::calls::Calls::new(config.settings.routers, config.seed);
+    let manner = match config.settings.list_on_request {
+        true => list::discovery::Manner::Asked,
+        false => list::discovery::Manner::Pushed,
+    };
     let terms = fawnstream_holds::Terms {
         within: Duration::from_nanos(config.links.release_within.0),
         grace: HELD_MORE,
@@ -142,7 +146,9 @@
     let etcd = config.etcd.map(watch::Sender::new);
     match &etcd {
         Some(told) => drop(actix_rt::spawn(list::etcd::follow(told.subscribe(), hear))),
-        None => drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, calls, hear))),
+        None => {
+            drop(actix_rt::spawn(list::discovery::follow(discovery.subscribe(), from, calls, manner, hear)))
+        }
     }
     let shared = Shared::new(core.clone(), live.clone(), config.client_sockets, config.body_bytes, inherits);
     let clients = shared.clone();
