--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -20,6 +20,8 @@
     served: usize,
     now: u64,
     id: u64,
+    /// One router in twenty gets twenty times what the others get, and all together as much as else.
+    uneven: bool,
 }
 
 impl Fleet {
@@ -41,7 +43,7 @@
             })
             .collect();
         let (sends, attempts, lost) = Default::default();
-        Fleet { routers, sends, attempts, lost, served: 0, now: 1_000 * MS, id: 0 }
+        Fleet { routers, sends, attempts, lost, served: 0, now: 1_000 * MS, id: 0, uneven: false }
     }
 
     fn tell(&mut self, entries: &[Member]) {
@@ -55,7 +57,13 @@
     fn run(&mut self, seconds: u64) {
         for step in 0..seconds * 10 {
             self.now += 100 * MS;
-            let due = (0..self.routers.len()).filter(|place| (*place as u64 + step).is_multiple_of(10));
+            let every = |place: u64| match self.uneven {
+                true if place.is_multiple_of(20) => 1,
+                true => 20,
+                false => 10,
+            };
+            let due =
+                (0..self.routers.len()).filter(|at| (*at as u64 + step).is_multiple_of(every(*at as u64)));
             for place in due.collect::<Vec<_>>() {
                 self.id += 1;
                 let bench = &mut self.routers[place];
@@ -123,6 +131,32 @@
     }
 }
 
+/// A server falls at more than N + 3 x root of N + 3 requests in the settings' time, N being what they allow it then: in
+/// each such time, summed over all routers, with even and uneven traffic, one cold server or most of them.
+#[test]
+fn no_cold_server_gets_what_it_falls_at_from_all_routers_together() {
+    for (count, uneven, colds) in [3, 48, 350, 1_024]
+        .into_iter()
+        .flat_map(|count| [(count, false, 1), (count, false, 7), (count, true, 1), (count, true, 7)])
+    {
+        let mut fleet = Fleet::with(count, 4.0);
+        fleet.uneven = uneven;
+        fleet.run(10);
+        let start = fleet.now;
+        let entries: Vec<Member> = (1..=colds).map(|server| fleet.restarted(server)).collect();
+        fleet.tell(&entries);
+        fleet.run(6);
+        // What it may be sent grows as it warms: the least of it, as at its start.
+        let allowed = 4.0 * 0.3 * ROOM * f64::from(count) / READERS as f64 * 2.0;
+        let falls = allowed + 3.0 * allowed.sqrt() + 3.0;
+        for server in 1..=colds {
+            let (_, most) = fleet.sent_since(server, start);
+            let what = format!("{count} routers, uneven {uneven}, {colds} cold");
+            assert!(most as f64 <= falls, "{what}: {most} sends to {server} in 2 s, it falls at {falls}");
+        }
+    }
+}
+
 #[test]
 fn a_mass_restart_pushes_none_over_and_leaves_work_for_all() {
     for count in [100, 350, 1_024] {
