--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -8,7 +8,7 @@
 use crate::log;
 use crate::names;
 use actix_http::body::BoxBody;
-use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::header::{CACHE_CONTROL, CONTENT_TYPE, HeaderMap, RETRY_AFTER};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use serde::de::IgnoredAny;
@@ -65,7 +65,10 @@
         Ok(end) => end,
         Err(bad) => {
             log!("request refused code={} reason=\"{bad}\"", bad.status().as_u16());
-            let class = request.headers().get("X-Call-Class").and_then(|value| value.to_str().ok());
+            let class = request
+                .headers()
+                .get("X-Call-Class")
+                .and_then(|value| std::str::from_utf8(value.as_bytes()).ok());
             untaken(
                 &shared,
                 &request,
@@ -109,7 +112,8 @@
     // A field that comes twice may be read in two ways, and is wrong.
     let text = |name: &str| {
         let mut values = head.get_all(name);
-        match (values.next().map(HeaderValue::to_str), values.next()) {
+        // Names are the customers' own, and may hold more than ASCII.
+        match (values.next().map(|value| std::str::from_utf8(value.as_bytes())), values.next()) {
             (Some(Ok(text)), None) => Ok(text.trim()),
             (None, _) => Err(Bad::Field(format!("{name} is missing"))),
             _ => Err(wrong(name)),
--- a/router/tests/large.rs
+++ b/router/tests/large.rs
@@ -99,7 +99,7 @@
 fn the_largest_legal_body_passes_both_fronts_and_one_byte_more_is_refused() {
     let largest = Arc::new(AtomicUsize::new(0));
     let router = start(largest.clone(), 0);
-    assert!(LONGEST_PROMPT * 4 < LARGEST, "the longest prompt fits");
+    const { assert!(LONGEST_PROMPT * 4 < LARGEST, "the longest prompt fits") };
     for (n, front) in [router.platform, router.openai].into_iter().enumerate() {
         largest.store(0, Ordering::SeqCst);
         let answer = ask(front, 1 + n, &body(LARGEST));
