--- a/src/logic.rs
+++ b/src/logic.rs
@@ -991,7 +991,9 @@
         let usual = Span((self.pools[0].usual + self.pools[1].usual) as u64);
         let late = |id: &RequestId| {
             let job = &self.jobs[id];
-            let latest = job.arrived + (job.aim - usual).max(job.aim.times(LEAST_WAIT));
+            // What a long prompt's aim has more is for reading it, not for waiting.
+            let aim = self.settings.classes[job.ask.class.0].aim;
+            let latest = job.arrived + (aim - usual).max(aim.times(LEAST_WAIT));
             self.now >= latest || self.now + ANSWER_MARGIN >= job.deadline
         };
         let late: Vec<_> = self.waiting.iter().copied().filter(late).collect();
