Let requests in by their worth for the work of reading them

Lines: `accept` in src/logic.rs, whose `worth` orders the line. It is now worth by the prompt's tokens in powers of two, so that prompts of about a size keep their order (the earliest, or the newest while the line stands); what is beyond a share still counts for less.

The longest prompts keep their part: tests/shares.rs, which asks for a third of what all get, passes as it was.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -394,6 +394,8 @@
         if self.over_share(ask.tenant) {
             worth *= self.settings.over_share_worth;
         }
+        // What reading it costs counts in powers of two, so that prompts of about a size keep their order.
+        worth /= (ask.prompt_len.max(1.0) as u64).next_power_of_two() as f64;
         self.jobs.insert(id, Job { arrived, aim, deadline, worth, ask, ..Job::default() });
         self.queue(id);
         self.open_gate(false, out);
@@ -403,15 +405,13 @@
 
     /// Whether a tenant has used up this router's even part of its share.
     fn over_share(&mut self, tenant: Option<TenantId>) -> bool {
-        let now = self.secs();
+        let (now, routers) = (self.secs(), f64::from(self.settings.routers));
         let told = tenant.and_then(|id| self.settings.tenants.get(id.0).zip(self.tenants.get_mut(id.0)));
-        told.is_some_and(|(told, quota)| {
-            !quota.take(now, told.quota_per_s / f64::from(self.settings.routers))
-        })
+        told.is_some_and(|(told, quota)| !quota.take(now, told.quota_per_s / routers))
     }
 
-    /// Takes a place in the line: the worthiest first, then the earliest; or the latest, while one of its
-    /// worth has waited long: whoever is served at the end of its wait is late, and fresh ones would be too.
+    /// Takes a place in the line: most worth for its work first, then the earliest; or the latest, while one of
+    /// its worth has waited long: who is served at the end of its wait is late, as fresh ones would be.
     fn queue(&mut self, id: RequestId) {
         let worth = self.jobs[&id].worth;
         let first = self.waiting.partition_point(|other| self.jobs[other].worth > worth);
