--- a/src/logic.rs
+++ b/src/logic.rs
@@ -410,8 +410,8 @@
         told.is_some_and(|(told, quota)| !quota.take(now, told.quota_per_s / routers))
     }
 
-    /// Takes a place in the line: most worth for its work first, then the earliest; or the latest, while one of
-    /// its worth has waited long: who is served at the end of its wait is late, as fresh ones would be.
+    /// Takes a place in the line: most worth for its work first, then the earliest; or the latest, while one
+    /// of its worth has waited long: who is served at the end of its wait is late, as fresh ones would be.
     fn queue(&mut self, id: RequestId) {
         let worth = self.jobs[&id].worth;
         let first = self.waiting.partition_point(|other| self.jobs[other].worth > worth);
