Let the router's tests share what stand-in readers and writers answer

large.rs and customers.rs had written again what holds.rs had: the answers of a read, a release and a whole stream stand in standins/ now. No assertion is changed; holds, large and customers pass.

--- a/router/tests/customers.rs
+++ b/router/tests/customers.rs
@@ -4,7 +4,7 @@
 mod standins;
 
 use serde_json::{Value, json};
-use standins::{chunk, serve};
+use standins::{READ, RELEASED, answer, serve};
 use std::process::{Command, Output, Stdio};
 
 /// A configuration of a customer with so many classes; servers of the kinds `wolf` and `fox` in zones of their own.
@@ -41,16 +41,8 @@
 
 #[test]
 fn customers_with_other_names_and_numbers_of_classes_are_served() {
-    let reader = serve(|head, _| {
-        let read = "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}";
-        let gone = "HTTP/1.1 204 No Content\r\n\r\n";
-        Some(if head.starts_with("DELETE") { gone } else { read }.to_owned())
-    });
-    let writer = serve(|_, _| {
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let event = chunk("data: {\"choices\":[]}\n\n");
-        Some(format!("{head}{event}{}0\r\n\r\n", chunk("data: [DONE]\n\n")))
-    });
+    let reader = serve(|head, _| Some(if head.starts_with("DELETE") { RELEASED } else { READ }.to_owned()));
+    let writer = serve(|_, _| Some(answer("{\"choices\":[]}")));
     for classes in [1, 2, 40] {
         let folder = tempfile::tempdir().unwrap();
         let config = customer(classes, &reader.to_string(), &writer.to_string());
--- a/router/tests/holds.rs
+++ b/router/tests/holds.rs
@@ -3,7 +3,7 @@
 
 mod standins;
 
-use standins::{PATIENCE, Router, begin, chunk, serve};
+use standins::{PATIENCE, READ, RELEASED, Router, answer, begin, chunk, serve};
 use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -12,8 +12,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
-const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}";
 const NO_STATE: &str = "HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
 
 /// What all servers hold: since when, by request.
@@ -27,12 +25,6 @@
     field.unwrap_or_else(|| head.split([' ', '/']).nth(4).unwrap_or_default().to_owned())
 }
 
-fn answer() -> String {
-    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-    let event = chunk("data: {\"choices\":[]}\n\n");
-    format!("{head}{event}{}0\r\n\r\n", chunk("data: [DONE]\n\n"))
-}
-
 /// A server that reads or writes. Once it is `silent` it takes what comes, does it, and says nothing.
 fn server(reads: bool, held: Held, silent: Arc<AtomicBool>) -> SocketAddr {
     serve(move |head, _| {
@@ -48,7 +40,7 @@
         } else {
             let taken = held.lock().unwrap().remove(&id).is_some();
             if !silent.load(Ordering::SeqCst) {
-                return Some(if taken { answer() } else { NO_STATE.to_owned() });
+                return Some(if taken { answer("{\"choices\":[]}") } else { NO_STATE.to_owned() });
             }
         }
         if silent.load(Ordering::SeqCst) {
--- a/router/tests/large.rs
+++ b/router/tests/large.rs
@@ -3,7 +3,7 @@
 
 mod standins;
 
-use standins::{chunk, serve};
+use standins::{READ, RELEASED, answer, serve};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
@@ -34,17 +34,13 @@
 fn start(largest: Arc<AtomicUsize>, read_ms: u64) -> Started {
     let reader = serve(move |head, body| {
         if head.starts_with("DELETE") {
-            return Some("HTTP/1.1 204 No Content\r\n\r\n".to_owned());
+            return Some(RELEASED.to_owned());
         }
         largest.fetch_max(body.len(), Ordering::SeqCst);
         std::thread::sleep(Duration::from_millis(read_ms));
-        Some("HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}".to_owned())
-    });
-    let writer = serve(|_, _| {
-        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
-        let event = chunk("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}\n\n");
-        Some(format!("{head}{event}{}0\r\n\r\n", chunk("data: [DONE]\n\n")))
+        Some(READ.to_owned())
     });
+    let writer = serve(|_, _| Some(answer("{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}")));
     let folder = tempfile::tempdir().unwrap();
     let config = include_str!("config.json")
         .replace("{d}", "127.0.0.1:9")
--- a/router/tests/standins/mod.rs
+++ b/router/tests/standins/mod.rs
@@ -67,6 +67,18 @@
     format!("{:X}\r\n{text}\r\n", text.len())
 }
 
+/// What a reader answers that has read a prompt.
+pub const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}";
+/// What any server answers that let go of all that it held for a request.
+pub const RELEASED: &str = "HTTP/1.1 204 No Content\r\n\r\n";
+
+/// A writer's whole answer, of one event and its end.
+pub fn answer(event: &str) -> String {
+    let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let event = chunk(&format!("data: {event}\n\n"));
+    format!("{head}{event}{}0\r\n\r\n", chunk("data: [DONE]\n\n"))
+}
+
 /// A started router.
 pub struct Router {
     pub child: Child,
