Send nothing for a request whose time is as good as up when it comes

A client's repeat came with some milliseconds left. Router::accept opened the gate first and looked at the time only then, so the request went to a reader, was cut off under a millisecond later, and the refusal overtook the end of that attempt on its way.

Now what has under ANSWER_MARGIN left is answered before the gate is opened. The test fails without the fix (seen: it is sent to a reader).

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -398,9 +398,9 @@
         worth /= (ask.prompt_len.max(1.0) as u64).next_power_of_two() as f64;
         self.jobs.insert(id, Job { arrived, aim, deadline, worth, ask, ..Job::default() });
         self.queue(id);
-        self.open_gate(false, out);
-        // A retry may come with almost no time left: the next tick could be too late to answer it.
+        // A retry may come with almost no time left: nothing is sent for it that would be cut at once.
         self.turn_away(out);
+        self.open_gate(false, out);
     }
 
     /// Whether a tenant has used up this router's even part of its share.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -40,6 +40,24 @@
     assert!(refused(&done), "{done:?}");
 }
 
+/// Guards against an attempt that is cut at the moment of the refusal: seen on `roll+brink` as a refusal after an
+/// attempt that may have run.
+#[test]
+fn a_request_with_hardly_any_time_is_sent_nowhere_although_there_is_room() {
+    for effect in [Effect::Safe, Effect::Unsafe, Effect::Keyed(Scope::All, Span::from_millis(5_000))] {
+        for budget in [0, 1, 10, 50] {
+            let mut bench = Bench::new(settings(effect), fleet());
+            let done = bench.hear(Event::Request(Request {
+                id: RequestId(1),
+                prompt_len: 1_000.0,
+                budget: Span::from_millis(budget),
+                ..Request::default()
+            }));
+            assert!(refused(&done) && sent_to(&done).is_empty(), "{budget} ms: {done:?}");
+        }
+    }
+}
+
 #[test]
 fn the_time_out_at_the_deadline_is_answered() {
     for (effect, refuse) in [(Effect::Safe, true), (Effect::Unsafe, false)] {
