Ask once more at an attempt's first byte whether it may begin

What was checked when it was sent is checked again at the first byte, in one place (servers/link.rs, Begin): the server drains (as before), the client has left or has its answer, under 20 ms are left of the attempt's time, or the time for which repeats of the request are dropped is over.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -26,6 +26,8 @@
 /// A request that is still open so long after its deadline is failed whatever the module thinks. Guards
 /// against a request that nobody answers.
 const OVERDUE: Duration = Duration::from_millis(5);
+/// A repeat has to reach its server within the time for which repeats are dropped: it is on its way for no longer.
+const ON_THE_WAY: Duration = Duration::from_millis(20);
 
 /// A server as the core and the servers' side know it.
 pub struct Server {
@@ -55,6 +57,8 @@
     pub deadline: Instant,
     /// When what is held for the request has to be let go, unless its last byte is written by then.
     pub expires: Option<Instant>,
+    /// Its first byte is written by then or never: later a repeat would no longer be known as one.
+    pub latest: Option<Instant>,
     /// It must not be begun before this says so, and tells that time anew: what is held is being let go of.
     pub after: Option<oneshot::Receiver<Option<Instant>>>,
     /// Ends the attempt early.
@@ -145,6 +149,9 @@
     _overdue: Option<Alarm>,
     deadline: Instant,
     attempts: u32,
+    /// When the last attempt was sent, and the first one that may have run.
+    began: Option<Instant>,
+    ran: Option<Instant>,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
     /// Lets an attempt begin that waits for a release.
     go: Option<oneshot::Sender<Option<Instant>>>,
@@ -185,6 +192,8 @@
     router: RefCell<Router>,
     names: shedrelay_settings::Names,
     roles: Vec<Role>,
+    /// For how long repeats of each class are dropped, where that ends.
+    windows: Vec<Option<Duration>>,
     open: RefCell<HashMap<RequestId, Open>>,
     /// What is held for requests, when that is looked at next, and who is being asked to let go of it.
     holds: RefCell<Holds<Rc<str>>>,
@@ -218,6 +227,11 @@
         usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
         let roles = settings.kinds.iter().map(|kind| kind.role).collect();
+        let window = |class: &Class| match class.effect {
+            Effect::Keyed(_, window) => Some(Duration::from_nanos(window.0)),
+            _ => None,
+        };
+        let windows = settings.classes.iter().map(window).collect();
         // What a reader of the log needs to tell what was late.
         for (name, class) in names.classes.iter().zip(&settings.classes) {
             let (aim, more) = (class.aim.secs() * 1e3, class.aim_per_1000.secs() * 1e3);
@@ -230,6 +244,7 @@
             router: RefCell::new(router),
             names,
             roles,
+            windows,
             open: RefCell::default(),
             holds: RefCell::new(Holds::new(terms)),
             hold_alarm: RefCell::default(),
@@ -518,6 +533,8 @@
             _overdue: Some(overdue),
             deadline,
             attempts: 0,
+            began: None,
+            ran: None,
             current: None,
             go: None,
             sent: None,
@@ -582,6 +599,8 @@
             _overdue: None,
             deadline: now,
             attempts: 1,
+            began: None,
+            ran: None,
             current: Some((server.clone(), Some(stop))),
             go: None,
             sent: None,
@@ -607,6 +626,7 @@
             until: now,
             deadline: now,
             expires: None,
+            latest: None,
             after: None,
             stop: stopped,
         };
@@ -701,7 +721,10 @@
             drop(holds);
             if !ended.written && verdict == Verdict::Cancelled {
                 // Never sent whole: it proves that it never ran.
-                verdict = if open.left { Verdict::Moot } else { Verdict::NoRoute };
+                verdict = if open.answered { Verdict::Moot } else { Verdict::NoRoute };
+            }
+            if !reads && !verdict.never_ran() {
+                open.ran = open.ran.or(open.began);
             }
             if open.started {
                 let how = match (open.left, verdict) {
@@ -978,6 +1001,10 @@
         open.current = Some((server.clone(), Some(stop)));
         open.route[usize::from(server.role != Role::Reader)] = Some(server.clone());
         open.sent.get_or_insert_with(|| open.exchange.call.arrived.elapsed());
+        let now = Instant::now();
+        open.began = Some(now);
+        let window = self.windows.get(open.exchange.call.class.0).copied().flatten();
+        let latest = open.ran.zip(window).filter(|_| server.role != Role::Reader);
         let (expires, after) = match self.holds.borrow_mut().starts(id.0, self.hold_time()) {
             Start::Go(expires) => (expires.map(|at| self.instant(at)), None),
             Start::Wait => {
@@ -986,7 +1013,7 @@
                 (None, Some(after))
             }
         };
-        let wait = timeout.map_or(open.deadline, |t| Instant::now() + Duration::from_nanos(t.0));
+        let wait = timeout.map_or(open.deadline, |t| now + Duration::from_nanos(t.0));
         let order = Order {
             exchange: open.exchange.clone(),
             request: id,
@@ -995,6 +1022,7 @@
             until: wait.min(open.deadline),
             deadline: open.deadline,
             expires,
+            latest: latest.map(|(ran, window)| ran + window.saturating_sub(ON_THE_WAY)),
             after,
             stop: stopped,
         };
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -173,6 +173,11 @@
 
     // For the servers' side.
 
+    /// Whether its client still waits for an answer to begin: else no attempt is begun for it any more.
+    pub fn waits(&self) -> bool {
+        !self.left.get() && self.state.borrow().opening.is_none()
+    }
+
     /// Hands on a piece of the answer; waits while the client is slow.
     pub async fn push(&self, piece: Bytes) -> Result<(), Left> {
         poll_fn(|cx| {
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -20,7 +20,7 @@
 use fawnstream_holds::{Called, Terms};
 use fawnstream_ledger::entry::Tokens;
 use futures_core::Stream;
-use link::{Lane, Pool, Raw};
+use link::{Begin, Lane, NotBegun, Pool, Raw};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
 use shedrelay::{Attempt, ClassId, Report, RequestId, Role, Verdict};
@@ -40,6 +40,9 @@
 const OFFER_AGAIN: Duration = Duration::from_millis(100);
 /// No request is older than this.
 const LONGEST_AGE_MS: u64 = 3_600_000;
+/// An attempt that would have less than this is not begun: nothing answers in that time, and its end would be on the way
+/// together with the request's final answer, which says that it has ended.
+const LEAST_TIME: Duration = Duration::from_millis(20);
 /// A connection that breaks in this time after it was used again was broken before.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
@@ -427,7 +430,16 @@
         idle: None,
     };
     let call = &order.exchange.call;
-    let body = lane.watch(order.server.clone(), call.body.clone());
+    let useful = order.until.checked_sub(LEAST_TIME).unwrap_or(order.until);
+    let latest = order.latest.map_or(useful, |latest| latest.min(useful));
+    let begin = Begin { server: order.server.clone(), exchange: order.exchange.clone(), latest };
+    if let Some(forbidden) = begin.forbidden() {
+        let (verdict, reason) = not_begun(forbidden);
+        // Its connection is as good as before.
+        pool.unused(lane);
+        return Some(ended(verdict, false, reason));
+    }
+    let body = lane.watch(begin, call.body.clone());
     let left = order.deadline.saturating_duration_since(Instant::now());
     let asked = lane
         .client
@@ -545,11 +557,20 @@
     }
 }
 
+/// What an attempt is to the core that must not begin: it has not run.
+fn not_begun(why: NotBegun) -> (Verdict, &'static str) {
+    match why {
+        // Another server may still take it.
+        NotBegun::Draining => (Verdict::Refused, "draining"),
+        NotBegun::NotWanted => (Verdict::Cancelled, "not-wanted"),
+        NotBegun::TooLate => (Verdict::Moot, "too-late"),
+    }
+}
+
 /// Has it run? The protocol's table, for attempts that got no answer's head.
 fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, &'static str) {
     match error {
-        // Another server may still take it: nothing ran.
-        _ if lane.refused() => (Verdict::Refused, "draining"),
+        _ if lane.not_begun().is_some() => lane.not_begun().map_or((Verdict::Refused, "draining"), not_begun),
         SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
         // Refused, or reset before it was written whole: a machine that vanished says nothing.
         _ if !lane.written() => (Verdict::Refused, "no-connection"),
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -3,6 +3,7 @@
 
 use super::frames::{self, Frames, Spoilt};
 use crate::core::Server;
+use crate::exchange::Exchange;
 use crate::handover::Framing;
 use crate::log;
 use actix_http::body::{BodySize, MessageBody};
@@ -46,18 +47,56 @@
 /// The first byte to a server that takes nothing new is written no later than this after the news.
 const LATEST_SEND: Duration = Duration::from_millis(350);
 
+/// What an attempt is for, and until when it may begin: asked once more when its first byte is about to be written,
+/// which may be long after it was sent this way.
+pub struct Begin {
+    /// Where it goes.
+    pub server: Rc<Server>,
+    /// The request.
+    pub exchange: Rc<Exchange>,
+    /// It is of no use after this time, or no longer allowed.
+    pub latest: Instant,
+}
+
+/// Why an attempt was never begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum NotBegun {
+    /// Its server takes nothing new.
+    Draining,
+    /// Its client left, or has its answer.
+    NotWanted,
+    /// Its time was up.
+    TooLate,
+}
+
+impl Begin {
+    /// Why it must not begin now, if it must not.
+    pub fn forbidden(&self) -> Option<NotBegun> {
+        let told = self.server.told.get();
+        if !self.exchange.waits() {
+            Some(NotBegun::NotWanted)
+        } else if told.is_some_and(|told| told.elapsed() > LATEST_SEND) {
+            // The drain rule binds sends that wait for a connection too.
+            Some(NotBegun::Draining)
+        } else {
+            (Instant::now() > self.latest).then_some(NotBegun::TooLate)
+        }
+    }
+}
+
 /// What is known of the request now on a connection.
 #[derive(Default)]
 struct Meter {
     body_done: Cell<bool>,
     written: Cell<bool>,
     begun: Cell<bool>,
-    refused: Cell<bool>,
+    not_begun: Cell<Option<NotBegun>>,
     ended: Cell<bool>,
     extra: Cell<bool>,
     spoilt: Cell<Option<Spoilt>>,
     code: Cell<&'static str>,
-    server: RefCell<Option<Rc<Server>>>,
+    /// None where the request counts as no attempt.
+    begin: RefCell<Option<Begin>>,
     /// Attempts written whole, on all connections.
     dispatches: Rc<Cell<u64>>,
     /// The connection, and its answer's framing: here, so that a stream can be taken out of awc's hands.
@@ -206,12 +245,10 @@
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let this = self.get_mut();
         if !this.meter.begun.get() {
-            // The drain rule binds sends that wait for a connection too.
-            let server = this.meter.server.borrow();
-            let told = server.as_ref().and_then(|server| server.told.get());
-            if told.is_some_and(|told| told.elapsed() > LATEST_SEND) {
-                this.meter.refused.set(true);
-                return Poll::Ready(Err(io::Error::other("the server takes nothing new")));
+            let forbidden = this.meter.begin.borrow().as_ref().and_then(Begin::forbidden);
+            if forbidden.is_some() {
+                this.meter.not_begun.set(forbidden);
+                return Poll::Ready(Err(io::Error::other("it must not begin any more")));
             }
         }
         let wrote = this.with(|stream| stream.poll_write(cx, buf));
@@ -225,7 +262,7 @@
         let this = self.get_mut();
         if this.meter.body_done.get() && this.meter.begun.get() {
             // A release counts as no attempt: it has no server to tell of.
-            if !this.meter.written.replace(true) && this.meter.server.borrow().is_some() {
+            if !this.meter.written.replace(true) && this.meter.begin.borrow().is_some() {
                 this.meter.dispatches.set(this.meter.dispatches.get() + 1);
             }
         }
@@ -288,23 +325,23 @@
 }
 
 impl Lane {
-    /// Prepares for a request that counts as an attempt at this server.
-    pub fn watch(&self, server: Rc<Server>, body: Bytes) -> Watched {
+    /// Prepares for a request that counts as an attempt.
+    pub fn watch(&self, begin: Begin, body: Bytes) -> Watched {
         self.unwatched();
         self.meter.body_done.set(body.is_empty());
-        *self.meter.server.borrow_mut() = Some(server);
+        *self.meter.begin.borrow_mut() = Some(begin);
         Watched { size: body.len() as u64, body: Some(body), meter: self.meter.clone() }
     }
 
     /// Prepares for a request that counts as none.
     pub fn unwatched(&self) {
         let meter = &self.meter;
-        let flags =
-            [&meter.body_done, &meter.written, &meter.begun, &meter.refused, &meter.ended, &meter.extra];
+        let flags = [&meter.body_done, &meter.written, &meter.begun, &meter.ended, &meter.extra];
         flags.into_iter().for_each(|flag| flag.set(false));
+        meter.not_begun.set(None);
         meter.spoilt.set(None);
         meter.code.set("");
-        *meter.server.borrow_mut() = None;
+        *meter.begin.borrow_mut() = None;
     }
 
     /// For how long it has been idle; none if its connection is yet to be opened.
@@ -317,9 +354,9 @@
         self.meter.written.get()
     }
 
-    /// Nothing was written, since the server takes nothing new.
-    pub fn refused(&self) -> bool {
-        self.meter.refused.get()
+    /// Why nothing was written, where that was forbidden.
+    pub fn not_begun(&self) -> Option<NotBegun> {
+        self.meter.not_begun.get()
     }
 
     /// The server ended the connection.
@@ -526,6 +563,13 @@
         Some(Lane { client, address, meter, idle_since: Instant::now(), used: false })
     }
 
+    /// Puts a lane back on which nothing was written since it was taken.
+    pub fn unused(&self, lane: Lane) {
+        if lane.used {
+            self.idle.borrow_mut().entry(lane.address).or_default().push(lane);
+        }
+    }
+
     /// Room for a connection that another process opened; none if all are taken.
     pub fn carried(&self) -> Option<Carried> {
         if self.open.get() >= self.most - self.kept_back {
@@ -541,7 +585,8 @@
         if lane.meter.extra.get() {
             return lane.closing("unread-bytes");
         }
-        if lane.meter.server.borrow().as_ref().is_some_and(|server| server.told.get().is_some()) {
+        // The request goes with its attempt, whatever becomes of its connection.
+        if lane.meter.begin.take().is_some_and(|begin| begin.server.told.get().is_some()) {
             return lane.closing("server-left");
         }
         (lane.idle_since, lane.used) = (Instant::now(), true);
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -309,10 +309,36 @@
                 let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(100));
                 self.fillers.extend(std::iter::from_fn(|| fill().ok()));
             }
+            // They come up from here on.
+            "heed" => {
+                let listener = &self.listeners[rest];
+                listener.set_nonblocking(true).unwrap();
+                while listener.accept().is_ok() {}
+                listener.set_nonblocking(false).unwrap();
+                socket2::SockRef::from(listener).listen(128).unwrap();
+                self.fillers.clear();
+            }
+            // The program has begun to connect there.
+            "dialling" => {
+                let port = self.listeners[rest].local_addr().unwrap().port();
+                let until = self.until();
+                // Of /proc/net/tcp: a connection to this port in the state SYN_SENT.
+                let wanted = format!("0100007F:{port:04X} 02");
+                while !std::fs::read_to_string("/proc/net/tcp").unwrap().contains(&wanted) {
+                    assert!(Instant::now() < until, "{rest}: nobody connects");
+                    std::thread::sleep(Duration::from_millis(2));
+                }
+            }
             "pause" => std::thread::sleep(Duration::from_millis(rest.parse().unwrap())),
-            "term" | "hup" => {
+            // `freeze` and `thaw`: what happens between them meets the program all at once.
+            "term" | "hup" | "freeze" | "thaw" => {
                 let id = self.running.program.as_ref().unwrap().id().to_string();
-                let kill = format!("kill -{} {id}", verb.to_uppercase());
+                let signal = match verb {
+                    "freeze" => "STOP".to_owned(),
+                    "thaw" => "CONT".to_owned(),
+                    verb => verb.to_uppercase(),
+                };
+                let kill = format!("kill -{signal} {id}");
                 assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
             }
             "etcd" => {
