Notice that a client has gone where it is not read from, and end connections in order

Read through the clients' side for moments in which something is owed: - clients/conn.rs: behind 16 KiB of pipelined bytes a connection was not read from, so its client's close was heard only when the answer was out. It is looked for every 40 ms now (left_while_paused). - clients/conn.rs, clients.rs: the runtime tells of a close right behind a request's bytes one turn later, when the attempt has begun. The socket is asked at once, and submit() takes nothing of a client that has gone (left_at_once). - clients/door.rs: a connection that was to be evicted in the moment in which its request was read was dropped with that request. It stays now (evicted_as_it_asks). Evicted and idle connections end only with nothing unread on them, like those of a drain; idle ones, and those whose answer broke off, are closed without a reset. - clients/door.rs, main.rs: connections that the system had accepted when the socket was closed after SIGTERM were reset. They are taken (stop_backlog). - A client that has closed while an earlier answer cannot be written ends its connection at once; that has no recording.

Each of the recordings named fails without its guard (seen on a scratch copy, one taken out at a time).

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -9,7 +9,7 @@
 pub mod websocket;
 
 use crate::core::Untaken;
-use crate::exchange::{Broken, ClientEnd};
+use crate::exchange::{Broken, Call, ClientEnd, Exchange};
 use crate::life::Phase;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::PayloadError;
@@ -58,6 +58,9 @@
     /// Its id is that of a request still open.
     #[error("a request with this id is open")]
     Twice,
+    /// Its client closed the connection in the moment in which it had come whole.
+    #[error("the client left")]
+    Gone,
 }
 
 impl Bad {
@@ -67,7 +70,7 @@
             Bad::Path => StatusCode::NOT_FOUND,
             Bad::Method => StatusCode::METHOD_NOT_ALLOWED,
             Bad::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Bad::Incomplete => StatusCode::REQUEST_TIMEOUT,
+            Bad::Incomplete | Bad::Gone => StatusCode::REQUEST_TIMEOUT,
             Bad::Field(_) | Bad::Unusable | Bad::Unreadable => StatusCode::BAD_REQUEST,
             Bad::Twice => StatusCode::CONFLICT,
             Bad::Crowded => StatusCode::SERVICE_UNAVAILABLE,
@@ -133,6 +136,15 @@
     Ok(Body { bytes, held })
 }
 
+/// Hands a request to the core. Guards against one that begins although its client has gone: its last bytes and the
+/// close came together.
+pub fn submit(shared: &Shared, request: &Request, call: Call) -> Result<ClientEnd, Bad> {
+    if request.conn_data::<Rc<Conn>>().is_some_and(|conn| conn.ended.get()) {
+        return Err(Bad::Gone);
+    }
+    shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
+}
+
 /// A request's body, and its part of the memory that bodies may take.
 pub struct Body {
     /// What came.
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -7,13 +7,14 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::mem::MaybeUninit;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::{Sleep, sleep_until};
 
 /// A request comes whole in this time, head and body, from the accept or, on a connection that was used before,
 /// from its first byte on. A client that says nothing has as long.
@@ -28,6 +29,9 @@
 const PIECE: usize = 16 * 1024;
 /// What is read behind a request while its answer is under way.
 const AHEAD: usize = 16 * 1024;
+/// How often a client that is not read from is looked at: its close stands behind what nobody reads, and nothing may be
+/// begun for it 100 ms later.
+const LOOK_CLOSED: Duration = Duration::from_millis(40);
 
 #[derive(Clone, Copy, Default, PartialEq)]
 enum Over {
@@ -43,6 +47,8 @@
     pub requests: Cell<u64>,
     /// The client ended it.
     pub ended: Cell<bool>,
+    /// It has just done so.
+    pub gone: Notify,
     /// Its head grew too large.
     pub large: Cell<bool>,
     /// Since when it is without a request.
@@ -83,6 +89,7 @@
         Rc::new(Conn {
             requests: Cell::new(0),
             ended: Cell::new(false),
+            gone: Notify::new(),
             large: Cell::new(false),
             since: Cell::new(now),
             evict: Notify::new(),
@@ -108,6 +115,7 @@
         self.requests.set(self.requests.get() + 1);
         self.busy.set(self.busy.get() + 1);
         self.bytes.set(0);
+        self.leave.set(false);
         Busy(self.clone())
     }
 
@@ -190,12 +198,14 @@
     pub conn: Rc<Conn>,
     /// Read since there was nothing more to read.
     read: usize,
+    /// When a client that is not read from is looked at next.
+    look: Option<Pin<Box<Sleep>>>,
 }
 
 impl Wire {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream, conn: Rc<Conn>) -> Self {
-        Wire { stream: Some(stream), conn, read: 0 }
+        Wire { stream: Some(stream), conn, read: 0, look: None }
     }
 
     fn stream(&mut self) -> io::Result<Pin<&mut TcpStream>> {
@@ -203,15 +213,48 @@
     }
 }
 
+/// What stands on a connection, unread.
+#[derive(Clone, Copy, PartialEq)]
+enum Stands {
+    Nothing,
+    Bytes,
+    /// Its end, in order or not.
+    End,
+}
+
 impl Wire {
-    /// Whether bytes stand on the connection, asked of the system itself: what it has told so far may be old.
-    fn unread(&self) -> bool {
+    /// Whether a client that is not read from has closed, its close standing behind bytes that are not read. Looks again
+    /// in a while.
+    fn closed_behind(&mut self, cx: &mut Context<'_>) -> bool {
+        let next = || Instant::now() + LOOK_CLOSED;
+        let look = self.look.get_or_insert_with(|| Box::pin(sleep_until(next().into())));
+        while look.as_mut().poll(cx).is_ready() {
+            look.as_mut().reset(next().into());
+        }
+        let Some(stream) = &self.stream else { return false };
+        match pin!(stream.ready(Interest::READABLE)).poll(cx) {
+            Poll::Ready(Ok(ready)) => ready.is_read_closed(),
+            Poll::Ready(Err(_)) => true,
+            Poll::Pending => false,
+        }
+    }
+
+    /// Notes that the client has closed.
+    fn ended(&self) {
+        self.conn.ended.set(true);
+        self.conn.gone.notify_one();
+    }
+
+    /// What stands on the connection, asked of the system itself: what it has told so far may be old.
+    fn stands(&self) -> Stands {
         let mut byte = [MaybeUninit::uninit()];
-        let peek = |stream| SockRef::from(stream).peek(&mut byte);
-        self.stream.as_ref().map(peek).is_some_and(|peeked| match peeked {
-            Ok(size) => size > 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        })
+        let Some(stream) = &self.stream else { return Stands::End };
+        match SockRef::from(stream).peek(&mut byte) {
+            Ok(0) => Stands::End,
+            Ok(_) => Stands::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Stands::Nothing,
+            Err(_) => Stands::End,
+        }
     }
 }
 
@@ -241,8 +284,13 @@
         }
         if conn.whole.get() && conn.bytes.get() >= AHEAD {
             *conn.paused.borrow_mut() = Some(cx.waker().clone());
+            if this.closed_behind(cx) {
+                this.ended();
+                return Poll::Ready(Ok(()));
+            }
             return Poll::Pending;
         }
+        this.look = None;
         let before = buf.filled().len();
         let read = this.stream()?.poll_read(cx, buf);
         let came = buf.filled().len() - before;
@@ -251,15 +299,25 @@
                 this.read = 0;
                 // To the server library the client has closed, so it ends the connection in order. Guards against
                 // closing on a request that has come and was not seen yet.
-                if conn.leave.get() && conn.idle() && conn.bytes.get() == 0 && !this.unread() {
+                if conn.leave.get()
+                    && conn.idle()
+                    && conn.bytes.get() == 0
+                    && this.stands() == Stands::Nothing
+                {
                     return Poll::Ready(Ok(()));
                 }
             }
-            Poll::Ready(Ok(())) if came == 0 => conn.ended.set(true),
+            Poll::Ready(Ok(())) if came == 0 => this.ended(),
             _ => {}
         }
+        // The runtime tells of an end that stands right behind these bytes only later, when what they ask for has begun.
+        if came > 0 && this.stands() == Stands::End {
+            conn.ended.set(true);
+        }
         this.read += came;
-        if came > 0 && conn.idle() && conn.bytes.get() == 0 && conn.requests.get() > 0 {
+        // A first one that comes in the moment in which its connection was to end has as long as any other.
+        let anew = conn.requests.get() > 0 || conn.leave.get();
+        if came > 0 && conn.idle() && conn.bytes.get() == 0 && anew {
             conn.due.set(Some(Instant::now() + REQUEST_TIME));
         }
         if conn.idle() || conn.whole.get() {
--- a/router/src/clients/door.rs
+++ b/router/src/clients/door.rs
@@ -41,6 +41,10 @@
 const LAST_HEAD: Duration = Duration::from_millis(1_900);
 /// A connection that never asked anything is given up for another one only when it is older than this.
 const FRESH: Duration = Duration::from_millis(150);
+/// Connections that the system accepts ahead of the router, at most.
+const BACKLOG: u32 = 1_024;
+/// The runtime has looked at its sockets once more after this.
+const ONE_TURN: Duration = Duration::from_millis(5);
 /// Connections beyond the limit that are told so, rather than just closed.
 const MOST_TURNED_AWAY: usize = 16;
 /// When the system has no descriptor left, so many connections end, and accepting waits for them: it neither spins
@@ -68,6 +72,8 @@
     /// Connections that are open; each is taken out by its task when it ends.
     conns: RefCell<BTreeMap<u64, Rc<Conn>>>,
     last: Cell<u64>,
+    /// Sockets on which clients are still accepted.
+    accepting: Rc<Cell<usize>>,
     most: usize,
     turned_away: Cell<usize>,
     bodies: Rc<Cell<usize>>,
@@ -91,6 +97,7 @@
             reloads: Cell::default(),
             conns: RefCell::default(),
             last: Cell::new(0),
+            accepting: Rc::default(),
             most,
             turned_away: Cell::new(0),
             bodies: Rc::default(),
@@ -129,6 +136,11 @@
         self.conns.borrow().len()
     }
 
+    /// Whether clients are still accepted anywhere.
+    pub fn accepting(&self) -> bool {
+        self.accepting.get() > 0
+    }
+
     /// Room for a body, none of it taken yet.
     pub fn hold(&self) -> Held {
         Held { bytes: 0, all: self.bodies.clone(), most: self.most_bodies }
@@ -146,6 +158,8 @@
         let rank = |conn: &&Rc<Conn>| {
             let fresh = conn.since.get().elapsed() < FRESH;
             let rank = match (conn.requests.get(), fresh) {
+                // A request has begun to come.
+                _ if conn.begun() => 3,
                 (0, false) => 0,
                 (0, true) => 2,
                 _ => 1,
@@ -160,6 +174,22 @@
     }
 }
 
+/// A socket on which clients are accepted, counted until the guard goes.
+struct Accepting(Rc<Cell<usize>>);
+
+impl Accepting {
+    fn new(all: &Rc<Cell<usize>>) -> Self {
+        all.set(all.get() + 1);
+        Accepting(all.clone())
+    }
+}
+
+impl Drop for Accepting {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 /// A connection's place among those that are open.
 pub struct Entered {
     shared: Rc<Shared>,
@@ -274,13 +304,27 @@
         let starting = |phase: &Phase| matches!(phase, Phase::Starting { .. });
         let _ = shared.life.subscribe().wait_for(|(phase, _)| !starting(phase)).await;
     }
+    let _accepting = Accepting::new(&shared.accepting);
     let mut shut = std::pin::pin!(shared.shut());
+    // How many more are accepted, once the socket is about to be closed.
+    let mut last = None;
     loop {
         let accepted = tokio::select! {
             biased;
-            () = &mut shut => return,
-            accepted = listener.accept() => accepted,
+            () = &mut shut, if last.is_none() => {
+                if shared.inherited {
+                    return;
+                }
+                // What the system has accepted by now is owed an answer. The runtime hears of it with its next turn.
+                last = Some((BACKLOG, Box::pin(actix_rt::time::sleep(ONE_TURN))));
+                continue;
+            }
+            accepted = listener.accept(), if last.as_ref().is_none_or(|(left, _)| *left > 0) => accepted,
+            () = async { if let Some((_, turn)) = &mut last { turn.await } }, if last.is_some() => return,
         };
+        if let Some((left, _)) = &mut last {
+            *left -= 1;
+        }
         match accepted {
             Ok((stream, _)) if !shared.make_room() => turn_away(&shared, stream),
             Ok((stream, peer)) => {
@@ -309,6 +353,14 @@
     }
 }
 
+/// Why a connection is to end between two requests.
+struct Ending {
+    code: &'static str,
+    since: Instant,
+    /// Requests that had come by then: one more, and it does not end.
+    requests: u64,
+}
+
 /// A connection from its accept to its end; gives the reason.
 async fn follow(
     served: impl Future<Output = Result<(), DispatchError>>,
@@ -318,21 +370,48 @@
     let mut served = Box::pin(served);
     let mut life = shared.life.subscribe();
     let born = Instant::now();
+    let mut ending: Option<Ending> = None;
     let code = loop {
+        let now = Instant::now();
         let away = shared.life.away_since();
         let by = |due: Instant| away.filter(|_| conn.begun()).map_or(due, |away| due.min(away + LAST_HEAD));
         let free = away.map(|away| away + LAST_USE).filter(|_| conn.idle() && !conn.begun());
         // Its first request may be on its way.
         let free = free.map(|free| if conn.requests.get() == 0 { free.max(born + LAST_USE) } else { free });
         conn.away.set(away.is_some());
-        conn.leave.set(free.is_some_and(|free| free <= Instant::now()));
+        let requests = conn.requests.get();
+        let resting = conn.idle() && !conn.begun();
+        if ending.take_if(|ending| !resting || ending.requests != requests).is_some() {
+            conn.leaving.set(false);
+        }
+        if ending.is_none() && resting && conn.due().is_some_and(|due| due <= now) {
+            let code = if requests == 0 { "no-request" } else { "idle" };
+            ending = Some(Ending { code, since: now, requests });
+        }
+        conn.leave.set(ending.is_some() || free.is_some_and(|free| free <= now));
         let often = if conn.upgraded.get() { LOOK_UPGRADED } else { LOOK };
-        let look = conn.due().map_or_else(|| Instant::now() + often, by);
+        let look = match &ending {
+            Some(ending) => ending.since + LINGER,
+            None => conn.due().map_or_else(|| now + often, by),
+        };
         let look = free.filter(|_| !conn.leave.get()).map_or(look, |free| look.min(free));
         tokio::select! {
             biased;
-            end = &mut served => break code(&end, conn, shared.life.phase()),
-            () = conn.evict.notified() => break "evicted",
+            end = &mut served => break match &ending {
+                // It ended as it was asked to, with nothing unread.
+                Some(ending) if end.is_ok() && !conn.ended.get() => ending.code,
+                _ => code(&end, conn, shared.life.phase()),
+            },
+            // The server library may wait until it has written what nobody reads any more.
+            () = conn.gone.notified() => if !conn.idle() { break "client-closed" },
+            () = conn.evict.notified() => match (conn.idle(), conn.begun()) {
+                (true, false) => {
+                    ending = Some(Ending { code: "evicted", since: now, requests: conn.requests.get() });
+                }
+                (true, true) => break "evicted",
+                // Its next request came in that moment: it stays.
+                (false, _) => conn.leaving.set(false),
+            },
             _ = life.changed() => {}
             () = conn.free.notified() => {
                 let asked = conn.surrender.take().filter(|asked| !asked.is_void() && conn.quiet());
@@ -349,12 +428,12 @@
                 if conn.stuck() && !conn.upgraded.get() {
                     break "slow-client";
                 }
-                if conn.due().is_some_and(|due| by(due) <= Instant::now()) {
-                    break match conn.requests.get() {
-                        _ if conn.begun() => "slow-head",
-                        0 => "no-request",
-                        _ => "idle",
-                    };
+                if let Some(ending) = ending.as_ref().filter(|ending| ending.since + LINGER <= Instant::now()) {
+                    // What it was answered does not get away.
+                    break ending.code;
+                }
+                if conn.begun() && conn.due().is_some_and(|due| by(due) <= Instant::now()) {
+                    break "slow-head";
                 }
             }
         }
@@ -365,7 +444,7 @@
     let answer: &[u8] = match code {
         "slow-head" => LATE,
         "large-head" => LARGE,
-        "closed" | "bad-head" | "stopping" | "standby" => b"",
+        "closed" | "bad-head" | "answer-broken" | "idle" | "no-request" | "stopping" | "standby" => b"",
         _ => return code,
     };
     if let Some(socket) = socket.filter(|_| !conn.ended.get()) {
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -4,9 +4,9 @@
 mod api;
 mod render;
 
-use super::{Answer, Bad, Busy, Shared, body, health, note, untaken};
+use super::{Answer, Bad, Busy, Shared, body, health, note, submit, untaken};
 use crate::config::openai::OpenAi;
-use crate::exchange::{ClientEnd, Exchange, Opening};
+use crate::exchange::{ClientEnd, Opening};
 use crate::log;
 use crate::names;
 use actix_http::body::BoxBody;
@@ -76,7 +76,7 @@
             .inspect_err(|_| class = api::class(&api.told, &body.bytes))?;
         let id = api.id();
         let call = chat.call(&api.told, tenant, id.clone(), arrived, body.held);
-        let end = shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)?;
+        let end = submit(&shared, &request, call)?;
         Ok(answer(end, &chat, &id, busy).await)
     };
     let answered = answered.await;
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -2,9 +2,9 @@
 
 use super::{
     Answer, Bad, Body, Conn, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
-    untaken,
+    submit, untaken,
 };
-use crate::exchange::{Call, Exchange, Opening};
+use crate::exchange::{Call, Opening};
 use crate::log;
 use crate::names;
 use actix_http::body::BoxBody;
@@ -59,7 +59,7 @@
         }
         call.body = bytes;
         call._held = Some(Box::new(held));
-        shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
+        submit(&shared, &request, call)
     };
     let mut end = match taken.await {
         Ok(end) => end,
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -225,7 +225,8 @@
     });
     actix_rt::time::sleep(STILL_OPEN).await;
     let last = Instant::now() + LAST_ANSWERS;
-    while (shared.open() > 0 || core.busy() > 0 || core.holding().0 > 0) && Instant::now() < last {
+    let under_way = || shared.accepting() || shared.open() > 0 || core.busy() > 0 || core.holding().0 > 0;
+    while under_way() && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
     if let Some(usage) = usage {
