--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -10,7 +10,7 @@
 use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 /// A line longer than this is no list.
@@ -164,16 +164,18 @@
     client.disable_timeout().disable_redirects().no_default_headers().finish()
 }
 
-/// Hands on the lines of a watch, empty ones too, until it ends or one of them ends it; gives the reason.
+/// Hands on the lines of a watch, empty ones too, until it ends or one of them ends it; gives the reason. Only a whole
+/// line is a sign of life: guards against one that comes byte by byte and never ends.
 async fn read_lines(
     answer: &mut ClientResponse,
     silence: Duration,
     mut hear: impl FnMut(&[u8]) -> Result<(), &'static str>,
 ) -> &'static str {
     let mut line = Vec::new();
+    let mut heard = Instant::now();
     loop {
         let piece = poll_fn(|cx| Pin::new(&mut *answer).poll_next(cx));
-        let piece = match actix_rt::time::timeout(silence, piece).await {
+        let piece = match tokio::time::timeout_at((heard + silence).into(), piece).await {
             Ok(Some(Ok(piece))) => piece,
             Ok(Some(Err(_))) => return "broken",
             Ok(None) => return "ended",
@@ -189,6 +191,7 @@
                     return reason;
                 }
                 line.clear();
+                heard = Instant::now();
             }
         }
     }
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -7,6 +7,7 @@
 mod core;
 mod exchange;
 mod handover;
+mod headers;
 mod leg;
 mod life;
 mod list;
@@ -117,8 +118,8 @@
     };
     let calls = fawnstream_fleet::calls::Calls::new(config.settings.routers, config.seed);
     let manner = match config.settings.list_on_request {
-        true => list::discovery::Manner::Asked,
-        false => list::discovery::Manner::Pushed,
+        true => fawnstream_fleet::calls::Manner::Asked,
+        false => fawnstream_fleet::calls::Manner::Pushed,
     };
     let terms = fawnstream_holds::Terms {
         within: Duration::from_nanos(config.links.release_within.0),
