Pass on by what servers know a repeat, and take drains' grace from the settings

Two faults in what an attempt is told and when it may begin.

It passes unchanged now on both fronts; told twice it is a 400. idempotency_key.txt fails without it on either front (seen).

350 ms after the news of a drain an attempt could still begin (servers/link.rs): a figure of a site whose drains have 500 ms; others have 250 (coast-assist) or 300. Now 0.7 of rules.drain_grace; nothing where the settings tell none. drain_grace.txt and drained_while_dialling.txt fail without it (seen).

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -10,10 +10,11 @@
 
 use crate::core::Untaken;
 use crate::exchange::{Broken, Call, ClientEnd, Exchange};
+use crate::headers::IDEMPOTENCY_KEY;
 use crate::life::Phase;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::PayloadError;
-use actix_http::header::{self, HeaderValue};
+use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use conn::{Busy, Conn, REQUEST_TIME};
@@ -136,6 +137,16 @@
     Ok(Body { bytes, held })
 }
 
+/// By what servers know a repeat of a request: it passes unchanged, as the request does.
+pub fn idempotency_key(head: &HeaderMap) -> Result<Option<Bytes>, Bad> {
+    let mut values = head.get_all(IDEMPOTENCY_KEY);
+    match (values.next(), values.next()) {
+        (None, _) => Ok(None),
+        (Some(value), None) => Ok(Some(Bytes::copy_from_slice(value.as_bytes()))),
+        _ => Err(Bad::Field(format!("{IDEMPOTENCY_KEY} is wrong"))),
+    }
+}
+
 /// Hands a request to the core. Guards against one that begins although its client has gone: its last bytes and the
 /// close came together.
 pub fn submit(shared: &Shared, request: &Request, call: Call) -> Result<ClientEnd, Bad> {
--- a/router/src/clients/openai.rs
+++ b/router/src/clients/openai.rs
@@ -4,9 +4,9 @@
 mod api;
 mod render;
 
-use super::{Answer, Bad, Busy, Shared, body, health, note, submit, untaken};
+use super::{Answer, Bad, Busy, Shared, body, health, idempotency_key, note, submit, untaken};
 use crate::config::openai::OpenAi;
-use crate::exchange::{ClientEnd, Opening};
+use crate::exchange::{Call, ClientEnd, Opening};
 use crate::log;
 use crate::names;
 use actix_http::body::BoxBody;
@@ -75,7 +75,8 @@
         let chat = Chat::parse(&api.told, &body.bytes)
             .inspect_err(|_| class = api::class(&api.told, &body.bytes))?;
         let id = api.id();
-        let call = chat.call(&api.told, tenant, id.clone(), arrived, body.held);
+        let idempotency_key = idempotency_key(request.headers())?;
+        let call = Call { idempotency_key, ..chat.call(&api.told, tenant, id.clone(), arrived, body.held) };
         let end = submit(&shared, &request, call)?;
         Ok(answer(end, &chat, &id, busy).await)
     };
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -239,6 +239,7 @@
             tenant: tenant.or(model.tenant),
             arrived,
             budget: model.deadline,
+            idempotency_key: None,
             target: super::CHAT.to_owned(),
             body: self.body.clone(),
             _held: Some(Box::new(held)),
--- a/router/src/clients/platform.rs
+++ b/router/src/clients/platform.rs
@@ -1,8 +1,8 @@
 //! The platform's front: its protocol's heads and statuses, and nothing else.
 
 use super::{
-    Answer, Bad, Body, Conn, LARGEST_BODY, Render, Shared, body, check_length, health, last, note, seconds,
-    submit, untaken,
+    Answer, Bad, Body, Conn, LARGEST_BODY, Render, Shared, body, check_length, health, idempotency_key, last,
+    note, seconds, submit, untaken,
 };
 use crate::exchange::{Call, Opening};
 use crate::log;
@@ -168,6 +168,7 @@
         tenant: tenant.map(TenantId),
         arrived,
         budget: Duration::from_secs_f64(budget),
+        idempotency_key: idempotency_key(head)?,
         target: String::new(),
         body: Bytes::new(),
         _held: None,
--- a/router/src/exchange.rs
+++ b/router/src/exchange.rs
@@ -40,6 +40,8 @@
     pub arrived: Instant,
     /// What the client will wait for a first token, from its send.
     pub budget: Duration,
+    /// By what servers know a repeat of it, as its client said it.
+    pub idempotency_key: Option<Bytes>,
     /// What servers are asked for; only they look into it.
     pub target: String,
     /// The request's body.
@@ -64,6 +66,7 @@
             tenant: None,
             arrived: now.checked_sub(age).unwrap_or(now),
             budget: Duration::ZERO,
+            idempotency_key: None,
             target: String::new(),
             body: Bytes::new(),
             _held: None,
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -8,6 +8,7 @@
 use crate::core::{Core, Ended, Order, Server};
 use crate::exchange::{Call, ClientEnd, Exchange, Left};
 use crate::handover::{Carried, Form, Framing, Handover, Stays, Text};
+use crate::headers::IDEMPOTENCY_KEY;
 use crate::log;
 use crate::sse;
 use crate::usage;
@@ -15,7 +16,7 @@
 use awc::ClientResponse;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
-use awc::http::header::CONTENT_TYPE;
+use awc::http::header::{CONTENT_TYPE, HeaderValue};
 use bytes::{Bytes, BytesMut};
 use fawnstream_holds::{Called, Terms};
 use fawnstream_ledger::entry::Tokens;
@@ -432,7 +433,8 @@
     let call = &order.exchange.call;
     let useful = order.until.checked_sub(LEAST_TIME).unwrap_or(order.until);
     let latest = order.latest.map_or(useful, |latest| latest.min(useful));
-    let begin = Begin { server: order.server.clone(), exchange: order.exchange.clone(), latest };
+    let begin =
+        Begin { server: order.server.clone(), exchange: order.exchange.clone(), grace: pool.grace(), latest };
     if let Some(forbidden) = begin.forbidden() {
         let (verdict, reason) = not_begun(forbidden);
         // Its connection is as good as before.
@@ -446,8 +448,13 @@
         .post(format!("http://{}{}", order.server.address, call.target))
         .insert_header((CONTENT_TYPE, "application/json"))
         .insert_header(("X-Call-Id", call.label.as_str()))
-        .insert_header(("X-Budget", format!("{:.3}", left.as_secs_f64())))
-        .send_body(body);
+        .insert_header(("X-Budget", format!("{:.3}", left.as_secs_f64())));
+    let key = call.idempotency_key.as_ref().and_then(|key| HeaderValue::from_bytes(key).ok());
+    let asked = match key {
+        Some(key) => asked.insert_header((IDEMPOTENCY_KEY, key)),
+        None => asked,
+    };
+    let asked = asked.send_body(body);
     let until = order.until;
     let cut = |lane: &Lane, verdict, reason| {
         lane.closing(reason);
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -44,8 +44,9 @@
 const PART_TIME: Duration = Duration::from_millis(500);
 /// Read from a connection at once.
 const PIECE: usize = 8 * 1024;
-/// The first byte to a server that takes nothing new is written no later than this after the news.
-const LATEST_SEND: Duration = Duration::from_millis(350);
+/// The first byte to a server that takes nothing new is written in this part of the time in which that has to stop: the
+/// rest is for its way.
+const GRACE_PART: f64 = 0.7;
 
 /// What an attempt is for, and until when it may begin: asked once more when its first byte is about to be written,
 /// which may be long after it was sent this way.
@@ -54,6 +55,8 @@
     pub server: Rc<Server>,
     /// The request.
     pub exchange: Rc<Exchange>,
+    /// How long after the news that its server drains it may begin.
+    pub grace: Duration,
     /// It is of no use after this time, or no longer allowed.
     pub latest: Instant,
 }
@@ -75,7 +78,7 @@
         let told = self.server.told.get();
         if !self.exchange.waits() {
             Some(NotBegun::NotWanted)
-        } else if told.is_some_and(|told| told.elapsed() > LATEST_SEND) {
+        } else if told.is_some_and(|told| told.elapsed() > self.grace) {
             // The drain rule binds sends that wait for a connection too.
             Some(NotBegun::Draining)
         } else {
@@ -563,6 +566,11 @@
         Some(Lane { client, address, meter, idle_since: Instant::now(), used: false })
     }
 
+    /// How long after the news that a server drains an attempt may begin there.
+    pub fn grace(&self) -> Duration {
+        Duration::from_nanos(self.links.drain_grace.0).mul_f64(GRACE_PART)
+    }
+
     /// Puts a lane back on which nothing was written since it was taken.
     pub fn unused(&self, lane: Lane) {
         if lane.used {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -25,6 +25,8 @@
     pub idle: Span,
     /// A connection that is not up by then has failed.
     pub connect: Span,
+    /// So long after a router was told that a server drains, what it sends there has to have stopped.
+    pub drain_grace: Span,
     /// What is held for a request with no attempt out is taken or let go of in this time.
     pub release_within: Span,
     /// The longest time for which a client waits; none where no class tells it.
@@ -96,6 +98,9 @@
 struct WireRules {
     cold: u64,
     cold_share: f64,
+    /// Where none is told, nothing is sent any more.
+    #[serde(default)]
+    drain_grace: u64,
     fall: u64,
     fall_multiple: f64,
 }
@@ -152,6 +157,7 @@
         Links {
             idle: Span(self.ceilings.conn_idle),
             connect: Span(self.ceilings.connect_timeout),
+            drain_grace: Span(self.rules.drain_grace),
             release_within: Span(self.extra.release_within),
             longest_wait: self.classes.iter().filter_map(|class| class.give_up).max().map(Span),
         }
