--- a/router/src/list/etcd.rs
+++ b/router/src/list/etcd.rs
@@ -1,10 +1,13 @@
 //! etcd's watch API as a source of the list, over its JSON gateway: one range for the whole list, then a watch
-//! of what changes after it. A key is a prefix and a server's id; its value is an entry in discovery's form.
+//! of what changes after it. A key is a prefix and a server's id; its value is an entry in discovery's form. etcd says
+//! nothing while nothing changes, as a connection that died does: so a watch that is silent for as long as one of
+//! discovery's may be is opened anew, after the last revision seen. That costs etcd a call, and misses nothing.
 
 use super::{Entry, Update, entry, moved, read_lines, watcher};
 use crate::config::etcd::Etcd;
 use crate::log;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
+use fawnstream_fleet::calls::SILENCE;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use shedrelay::ServerState;
@@ -13,12 +16,14 @@
 use tokio::sync::watch;
 
 const FIRST_WAIT: Duration = Duration::from_millis(100);
-const LONGEST_WAIT: Duration = Duration::from_millis(2_000);
-/// The answer to a range comes in this time.
-const ANSWER: Duration = Duration::from_secs(5);
-/// A watch that says nothing for so long is opened anew, after the last revision seen: etcd is silent while
-/// nothing changes, and so is a connection that died.
-const SILENCE: Duration = Duration::from_secs(60);
+const LONGEST_WAIT: Duration = Duration::from_millis(1_000);
+/// A watch has begun in this time, dial and all: with [`SILENCE`] and the waits that leaves time for three calls within
+/// that after which news counts as told.
+const ANSWER: Duration = Duration::from_millis(900);
+/// The whole list comes in this time.
+const WHOLE: Duration = Duration::from_secs(2);
+/// A watch that had begun has said nothing of late: nothing changed, or it died. No line of the log: most are well.
+const QUIET: &str = "quiet";
 /// A list larger than this is none.
 const LARGEST: usize = 8 * 1024 * 1024;
 
@@ -79,9 +84,16 @@
             reason = source.watch(&mut hear) => reason,
             () = moved(&mut told) => "moved",
         };
-        log!("connection peer=etcd address={} code={reason} revision={}", source.told.endpoint, source.from);
+        if reason != QUIET {
+            log!(
+                "connection peer=etcd address={} code={reason} revision={}",
+                source.told.endpoint,
+                source.from
+            );
+        }
         if reason != "moved" {
-            wait = if source.from == before { (wait * 2).min(LONGEST_WAIT) } else { FIRST_WAIT };
+            let well = source.from != before || reason == QUIET;
+            wait = if well { FIRST_WAIT } else { (wait * 2).min(LONGEST_WAIT) };
             tokio::select! {
                 () = actix_rt::time::sleep(wait) => continue,
                 () = moved(&mut told) => {}
@@ -122,7 +134,7 @@
                 }
                 answer.json::<Range>().limit(LARGEST).await.map_err(|_| "bad-list")
             };
-            let range = match actix_rt::time::timeout(ANSWER, answer).await {
+            let range = match actix_rt::time::timeout(WHOLE, answer).await {
                 Ok(Ok(range)) => range,
                 Ok(Err(reason)) => return reason,
                 Err(_) => return "silent",
@@ -142,12 +154,19 @@
             Ok(Err(_)) => return "no-connection",
             Err(_) => return "silent",
         };
-        let line = |line: &[u8]| if line.trim_ascii().is_empty() { Ok(()) } else { self.line(line, hear) };
-        read_lines(&mut answer, SILENCE, line).await
+        let mut begun = false;
+        let line = |line: &[u8]| {
+            begun = true;
+            if line.trim_ascii().is_empty() { Ok(()) } else { self.line(line, hear) }
+        };
+        match read_lines(&mut answer, SILENCE, line).await {
+            "silent" if begun => QUIET,
+            reason => reason,
+        }
     }
 
-    /// One line of a watch. Garbage is dropped; a watch that etcd cancels (its revision was compacted, say)
-    /// begins again from the whole list.
+    /// One line of a watch. Garbage changes nothing, and what it was to tell is asked for anew; a watch that etcd cancels
+    /// (its revision was compacted, say) begins again from the whole list.
     fn line(&mut self, line: &[u8], hear: &mut impl FnMut(Update)) -> Result<(), &'static str> {
         let parsed = serde_json::from_slice::<Line>(line).map_err(|error| error.to_string());
         let parsed = parsed.and_then(|line| {
@@ -158,7 +177,7 @@
             Ok(parsed) => parsed,
             Err(error) => {
                 log!("list dropped reason=bad-line error=\"{error}\"");
-                return Ok(());
+                return Err("bad-list");
             }
         };
         if watched.canceled {
