Take a beginning for popular until enough requests say that it isn't

Groups have half a server's even part again.

Followed further: the draws that broke the bound were those of routers that had seen few requests, or none since a restart. They took every beginning for a seldom one (Popular::part counts as if eight others had come before), so all its sessions drew one server, a quarter of all requests where four beginnings are common. Popular::at_most counts four more that may have gone to other routers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -533,11 +533,11 @@
         }
         let among: Vec<(u64, f64)> = all.iter().map(|seen| (seen.id.0, seen.warmth)).collect();
         // Sessions of a beginning draw alike while some are warm, so that a cold server reads few of them
-        // anew; but no more together than an eighth of one server's even part of all requests.
+        // anew; but no more together than half of one server's even part of all requests.
         let warm = among.iter().any(|(_, warmth)| *warmth >= 1.0);
         let session = mix(job.ask.session.map_or(job.ask.id.0, |key| key.0));
-        let part = job.ask.prefix.map_or(0.0, |key| self.popular.part(self.secs(), key.0));
-        let groups = ((part * 8.0 * all.len() as f64) as u64).max(1).next_power_of_two();
+        let part = job.ask.prefix.map_or(0.0, |key| self.popular.at_most(self.secs(), key.0));
+        let groups = ((part * 2.0 * all.len() as f64) as u64).max(1).next_power_of_two();
         let held = self.purses[role as usize].holds(self.secs(), self.pace(role), self.settings.routers);
         let key = job.ask.prefix.filter(|_| warm).map_or(session, |key| key.0 ^ (session & (groups - 1)));
         let mut open = self.cold.draw(key, &among, held >= 1.0).into_iter();
