--- a/router/tests/large.rs
+++ b/router/tests/large.rs
@@ -3,10 +3,9 @@
 
 mod standins;
 
-use standins::{READ, RELEASED, answer, serve};
-use std::io::{BufRead, BufReader, Read, Write};
+use standins::{BothFronts, READ, RELEASED, answer, both_fronts, serve};
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
@@ -15,23 +14,9 @@
 /// The longest prompt that operators told of, in tokens of four characters.
 const LONGEST_PROMPT: usize = 61_671;
 
-struct Started {
-    child: Child,
-    platform: SocketAddr,
-    openai: SocketAddr,
-    _folder: tempfile::TempDir,
-}
-
-impl Drop for Started {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// A router with one reader and one writer that answer all, the reader after a while; `largest` is the largest body that
 /// the reader got.
-fn start(largest: Arc<AtomicUsize>, read_ms: u64) -> Started {
+fn start(largest: Arc<AtomicUsize>, read_ms: u64) -> BothFronts {
     let reader = serve(move |head, body| {
         if head.starts_with("DELETE") {
             return Some(RELEASED.to_owned());
@@ -41,28 +26,7 @@
         Some(READ.to_owned())
     });
     let writer = serve(|_, _| Some(answer("{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"ab\"}}]}")));
-    let folder = tempfile::tempdir().unwrap();
-    let config = include_str!("config.json")
-        .replace("{d}", "127.0.0.1:9")
-        .replace("{r1}", &reader.to_string())
-        .replace("{w1}", &writer.to_string())
-        .replace("\"sockets\": 256", "\"sockets\": 1024, \"memory_mb\": 192")
-        .replace("\"kv_tokens\": [100000, 100000]", "\"kv_tokens\": [600000000, 600000000]");
-    std::fs::write(folder.path().join("config.json"), config).unwrap();
-    let models = include_str!("../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
-    std::fs::write(folder.path().join("openai.toml"), models).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
-    command.env_clear().env("PROXY_CONFIG", folder.path().join("config.json"));
-    command.arg("--openai").arg(folder.path().join("openai.toml"));
-    let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
-    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
-    let mut address = |what: &str| -> SocketAddr {
-        let line = lines.find(|line| line.contains(what)).unwrap_or_else(|| panic!("no {what}"));
-        line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
-    };
-    let (openai, platform) = (address("openai listen="), address("started name="));
-    std::thread::spawn(move || lines.for_each(drop));
-    Started { child, platform, openai, _folder: folder }
+    both_fronts(reader, writer)
 }
 
 /// A body of exactly this size.
--- a/router/tests/standins/mod.rs
+++ b/router/tests/standins/mod.rs
@@ -3,7 +3,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command};
+use std::process::{Child, Command, Stdio};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -141,3 +141,44 @@
         }
     }
 }
+
+/// A started router with both fronts, which has room for the largest requests.
+pub struct BothFronts {
+    pub child: Child,
+    pub platform: SocketAddr,
+    pub openai: SocketAddr,
+    _folder: tempfile::TempDir,
+}
+
+impl Drop for BothFronts {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Starts it before one reader and one writer.
+pub fn both_fronts(reader: SocketAddr, writer: SocketAddr) -> BothFronts {
+    let folder = tempfile::tempdir().unwrap();
+    let config = include_str!("../config.json")
+        .replace("{d}", "127.0.0.1:9")
+        .replace("{r1}", &reader.to_string())
+        .replace("{w1}", &writer.to_string())
+        .replace("\"sockets\": 256", "\"sockets\": 1024, \"memory_mb\": 192")
+        .replace("\"kv_tokens\": [100000, 100000]", "\"kv_tokens\": [600000000, 600000000]");
+    std::fs::write(folder.path().join("config.json"), config).unwrap();
+    let models = include_str!("../../../deploy/openai.toml").replace("127.0.0.1:8081", "127.0.0.1:0");
+    std::fs::write(folder.path().join("openai.toml"), models).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
+    command.env_clear().env("PROXY_CONFIG", folder.path().join("config.json"));
+    command.arg("--openai").arg(folder.path().join("openai.toml"));
+    let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let mut address = |what: &str| -> SocketAddr {
+        let line = lines.find(|line| line.contains(what)).unwrap_or_else(|| panic!("no {what}"));
+        line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
+    };
+    let (openai, platform) = (address("openai listen="), address("started name="));
+    std::thread::spawn(move || lines.for_each(drop));
+    BothFronts { child, platform, openai, _folder: folder }
+}
