--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -3,7 +3,7 @@
 
 pub mod carried;
 mod conn;
-mod door;
+mod listener;
 pub mod openai;
 pub mod platform;
 pub mod websocket;
@@ -18,8 +18,8 @@
 use actix_http::{HttpMessage as _, Method, Request, Response, StatusCode};
 use bytes::Bytes;
 use conn::{Busy, Conn, REQUEST_TIME};
-pub use door::{Held, STILL_OPEN, Shared, serve, serve_upgrades};
 use futures_core::Stream;
+pub use listener::{Held, STILL_OPEN, Shared, serve, serve_upgrades};
 use shedrelay::{ClassId, TenantId};
 use std::future::poll_fn;
 use std::pin::Pin;
--- a/router/src/clients/carried.rs
+++ b/router/src/clients/carried.rs
@@ -2,7 +2,7 @@
 //! written as chunks, without the server library, whose part of it was the head.
 
 use super::conn::{Conn, TAKES_NOTHING};
-use super::door::linger;
+use super::listener::linger;
 use super::{Broken, Shared};
 use crate::exchange::ClientEnd;
 use crate::log;
--- a/router/src/clients/door.rs
+++ b/router/src/clients/listener.rs
@@ -1,4 +1,4 @@
-//! The door: accepts clients' connections, sees to it that there is room for those that ask something, and ends
+//! The listener: accepts clients' connections, sees to it that there is room for those that ask something, and ends
 //! each of them in order.
 
 use super::conn::{Conn, Wire};
@@ -118,7 +118,7 @@
         self.open() < self.most && self.life.phase() != Phase::Stopping
     }
 
-    /// Notes a connection that did not come through the door, until the guard goes.
+    /// Notes a connection that did not come through the listener, until the guard goes.
     pub fn enter(self: &Rc<Self>, conn: &Rc<Conn>) -> Entered {
         let number = self.last.get() + 1;
         self.last.set(number);
--- a/router/src/life.rs
+++ b/router/src/life.rs
@@ -1,4 +1,4 @@
-//! The router's life cycle: the one state machine that health calls, the operators' address, the door and the
+//! The router's life cycle: the one state machine that health calls, the operators' address, the listener and the
 //! signals ask. Which states there are and what leads from one to another stands in [`Phase::next`] alone.
 
 use std::time::Instant;
