--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -11,7 +11,7 @@
 use crate::core::Untaken;
 use crate::exchange::{Broken, Call, ClientEnd, Exchange};
 use crate::headers::IDEMPOTENCY_KEY;
-use crate::life::Phase;
+use crate::lifecycle::Phase;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::error::PayloadError;
 use actix_http::header::{self, HeaderMap, HeaderValue};
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -3,7 +3,7 @@
 
 use super::conn::{Conn, Wire};
 use crate::core::Core;
-use crate::life::{Life, Phase};
+use crate::lifecycle::{Lifecycle, Phase};
 use crate::live::Live;
 use crate::log;
 use actix_codec::Framed;
@@ -62,7 +62,7 @@
     /// Where requests go.
     pub core: Rc<Core>,
     /// Where in its life the router is.
-    pub life: Life,
+    pub life: Lifecycle,
     /// The clients' socket is the platform's, and another process may accept from it.
     pub inherited: bool,
     /// Long-lived connections, where there are any.
@@ -91,7 +91,7 @@
     ) -> Rc<Self> {
         Rc::new(Shared {
             core,
-            life: Life::new(),
+            life: Lifecycle::new(),
             inherited,
             live,
             reloads: Cell::default(),
--- a/router/src/life.rs
+++ b/router/src/lifecycle.rs
@@ -74,14 +74,14 @@
 }
 
 /// The router's phase, and since when it holds.
-pub struct Life {
+pub struct Lifecycle {
     phase: watch::Sender<(Phase, Instant)>,
 }
 
-impl Life {
+impl Lifecycle {
     /// A router that starts.
     pub fn new() -> Self {
-        Life { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
+        Lifecycle { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
     }
 
     /// The phase now.
--- a/router/src/live.rs
+++ b/router/src/live.rs
@@ -7,7 +7,7 @@
 
 use crate::config::websocket::WebSocket;
 use crate::core::{Core, News, Server};
-use crate::life::Life;
+use crate::lifecycle::Lifecycle;
 use fawnstream_sessions::{
     Action, Attempt, Code, Counts, Millis, ServerId, SessionId, Sessions, TenantId, Turned,
 };
@@ -152,7 +152,7 @@
     }
 
     /// Follows time, the list and the life cycle until the program ends.
-    pub async fn run(self: Rc<Self>, life: &Life) {
+    pub async fn run(self: Rc<Self>, life: &Lifecycle) {
         let mut phase = life.subscribe();
         loop {
             let now = self.now();
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -9,7 +9,7 @@
 mod handover;
 mod headers;
 mod leg;
-mod life;
+mod lifecycle;
 mod list;
 mod live;
 mod log;
@@ -21,7 +21,7 @@
 
 use clients::{STILL_OPEN, Shared, openai, platform, websocket};
 use config::Config;
-use life::Event;
+use lifecycle::Event;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -7,7 +7,7 @@
 use crate::clients::Shared;
 // Callers at once; their descriptors are kept back. One more ends the one that has said nothing longest.
 use crate::config::MOST_CALLERS;
-use crate::life::Event;
+use crate::lifecycle::Event;
 use crate::log;
 use std::collections::VecDeque;
 use std::fmt::Write as _;
