Begin nothing that stands behind an answer which ends the connection

Found with a recording of pipelined requests under SIGTERM: the answer under way says "connection: close", and the server library goes on with the requests that it had read behind it; one that may not be repeated was sent to a reader, though its client, told that the connection ends, takes it for unread and sends it again. It is refused now (503, it never ran). The same holds behind other answers that end a connection. stop_pipelined fails without it (seen).

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -62,6 +62,9 @@
     /// Its client closed the connection in the moment in which it had come whole.
     #[error("the client left")]
     Gone,
+    /// It stands behind an answer that ends the connection.
+    #[error("the connection ended with the answer before")]
+    Behind,
 }
 
 impl Bad {
@@ -74,7 +77,7 @@
             Bad::Incomplete | Bad::Gone => StatusCode::REQUEST_TIMEOUT,
             Bad::Field(_) | Bad::Unusable | Bad::Unreadable => StatusCode::BAD_REQUEST,
             Bad::Twice => StatusCode::CONFLICT,
-            Bad::Crowded => StatusCode::SERVICE_UNAVAILABLE,
+            Bad::Crowded | Bad::Behind => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
@@ -147,12 +150,17 @@
     }
 }
 
-/// Hands a request to the core. Guards against one that begins although its client has gone: its last bytes and the
-/// close came together.
+/// Hands a request to the core. Guards against one that begins although its client has gone, its last bytes and the
+/// close having come together; and against one that its client sends again, since the answer before said that the
+/// connection ends: the server library goes on with what it has read behind it.
 pub fn submit(shared: &Shared, request: &Request, call: Call) -> Result<ClientEnd, Bad> {
-    if request.conn_data::<Rc<Conn>>().is_some_and(|conn| conn.ended.get()) {
+    let conn = request.conn_data::<Rc<Conn>>();
+    if conn.is_some_and(|conn| conn.ended.get()) {
         return Err(Bad::Gone);
     }
+    if conn.is_some_and(|conn| conn.said_close.get()) {
+        return Err(Bad::Behind);
+    }
     shared.core.submit(Exchange::new(call)).ok_or(Bad::Twice)
 }
 
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -45,6 +45,8 @@
 pub struct Conn {
     /// Requests whose head came.
     pub requests: Cell<u64>,
+    /// An answer has said that the connection ends with it: its client takes what stands behind for unread.
+    pub said_close: Cell<bool>,
     /// The client ended it.
     pub ended: Cell<bool>,
     /// It has just done so.
@@ -88,6 +90,7 @@
         let now = Instant::now();
         Rc::new(Conn {
             requests: Cell::new(0),
+            said_close: Cell::new(false),
             ended: Cell::new(false),
             gone: Notify::new(),
             large: Cell::new(false),
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -256,10 +256,14 @@
     let service = fn_service(move |request: Request| {
         let (shared, front) = (of.clone(), front.clone());
         async move {
+            let conn = request.conn_data::<Rc<Conn>>().cloned();
             let mut response = front(shared.clone(), request).await;
             if shared.life.phase().sends_away() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
+            if let Some(conn) = conn.filter(|_| !response.head().keep_alive()) {
+                conn.said_close.set(true);
+            }
             Ok::<_, Infallible>(response)
         }
     });
