--- a/fleet/src/popular.rs
+++ b/fleet/src/popular.rs
@@ -9,8 +9,6 @@
 
 /// As if so many requests had come before, of which two began alike.
 const FEW: f64 = 8.0;
-/// Requests of a key that may have gone to other routers for each few seen here.
-const MAY_BE: f64 = 4.0;
 
 /// Counts by key. Holds `most` keys at most; a full table takes no new ones, so that keys that clients make up cannot
 /// make it grow. Faded keys are swept once a span at most, so a note costs no walk over all that is held.
@@ -69,12 +67,6 @@
         self.keys.get(&key).map_or(0.0, count) / (count(&self.all) + FEW)
     }
 
-    /// The part that may well have this key, as long as few have been seen: so much more than [`Popular::part`].
-    pub fn at_most(&self, now: f64, key: u64) -> f64 {
-        let all = faded(self.all, now, self.half) + FEW;
-        (self.part(now, key) + MAY_BE / all).min(1.0)
-    }
-
     /// The part of all routers' requests that is likely to have this key, from 0 to 1.
     pub fn likely(&self, now: f64, key: u64) -> f64 {
         let alike = faded(self.alike, now, self.half / 2.0) + 1.0;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -536,7 +536,7 @@
         // anew; but no more together than half of one server's even part of all requests.
         let warm = among.iter().any(|(_, warmth)| *warmth >= 1.0);
         let session = mix(job.ask.session.map_or(job.ask.id.0, |key| key.0));
-        let part = job.ask.prefix.map_or(0.0, |key| self.popular.at_most(self.secs(), key.0));
+        let part = job.ask.prefix.map_or(0.0, |key| self.popular.part(self.secs(), key.0));
         let groups = ((part * 2.0 * all.len() as f64) as u64).max(1).next_power_of_two();
         let held = self.purses[role as usize].holds(self.secs(), self.pace(role), self.settings.routers);
         let key = job.ask.prefix.filter(|_| warm).map_or(session, |key| key.0 ^ (session & (groups - 1)));
