--- a/router/src/clients/door.rs
+++ b/router/src/clients/listener.rs
@@ -1,9 +1,9 @@
-//! The door: accepts clients' connections, sees to it that there is room for those that ask something, and ends
+//! The listener: accepts clients' connections, sees to it that there is room for those that ask something, and ends
 //! each of them in order.
 
 use super::conn::{Conn, Wire};
 use crate::core::Core;
-use crate::life::{Life, Phase};
+use crate::lifecycle::{Lifecycle, Phase};
 use crate::live::Live;
 use crate::log;
 use actix_codec::Framed;
@@ -62,7 +62,7 @@
     /// Where requests go.
     pub core: Rc<Core>,
     /// Where in its life the router is.
-    pub life: Life,
+    pub life: Lifecycle,
     /// The clients' socket is the platform's, and another process may accept from it.
     pub inherited: bool,
     /// Long-lived connections, where there are any.
@@ -91,7 +91,7 @@
     ) -> Rc<Self> {
         Rc::new(Shared {
             core,
-            life: Life::new(),
+            life: Lifecycle::new(),
             inherited,
             live,
             reloads: Cell::default(),
@@ -118,7 +118,7 @@
         self.open() < self.most && self.life.phase() != Phase::Stopping
     }
 
-    /// Notes a connection that did not come through the door, until the guard goes.
+    /// Notes a connection that did not come through the listener, until the guard goes.
     pub fn enter(self: &Rc<Self>, conn: &Rc<Conn>) -> Entered {
         let number = self.last.get() + 1;
         self.last.set(number);
@@ -256,10 +256,14 @@
     let service = fn_service(move |request: Request| {
         let (shared, front) = (of.clone(), front.clone());
         async move {
+            let conn = request.conn_data::<Rc<Conn>>().cloned();
             let mut response = front(shared.clone(), request).await;
             if shared.life.phase().sends_away() {
                 response.head_mut().set_connection_type(ConnectionType::Close);
             }
+            if let Some(conn) = conn.filter(|_| !response.head().keep_alive()) {
+                conn.said_close.set(true);
+            }
             Ok::<_, Infallible>(response)
         }
     });
--- a/router/src/life.rs
+++ b/router/src/lifecycle.rs
@@ -1,4 +1,4 @@
-//! The router's life cycle: the one state machine that health calls, the operators' address, the door and the
+//! The router's life cycle: the one state machine that health calls, the operators' address, the listener and the
 //! signals ask. Which states there are and what leads from one to another stands in [`Phase::next`] alone.
 
 use std::time::Instant;
@@ -74,14 +74,14 @@
 }
 
 /// The router's phase, and since when it holds.
-pub struct Life {
+pub struct Lifecycle {
     phase: watch::Sender<(Phase, Instant)>,
 }
 
-impl Life {
+impl Lifecycle {
     /// A router that starts.
     pub fn new() -> Self {
-        Life { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
+        Lifecycle { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
     }
 
     /// The phase now.
