Refuse only what the attempts prove harmless; a given-up read is no proof

Beside it: a keyed class of group 'all' was refused after its window or with a Retry-After beyond it; a rejection that may be a second answer to an earlier request on the connection counted as proof; 'written' was set at a flush; the end of the wait for answers closed connections on open requests.

Change: attempts/, a pure crate, collects what each attempt proves (never sent, no effect, may have run, may be out) and is the one place that says whether a final answer may be a refusal. The module and the core ask it; outcomes say whether the server or the router ended the attempt. A request that is read as its resting connection ends keeps the connection.

--- a/benches/cost.rs
+++ b/benches/cost.rs
@@ -60,6 +60,7 @@
             request: RequestId(id),
             attempt: Attempt(attempt),
             verdict,
+            evidence: Evidence::Server,
             settled: false,
             kept: None,
             report: None,
--- a/drill/src/wire.rs
+++ b/drill/src/wire.rs
@@ -279,7 +279,16 @@
     let report = report(fields)?;
     let verdict = if verdict == Verdict::Full && info == Some(1.0) { Verdict::NoState } else { verdict };
     let kept = info.filter(|_| matches!(verdict, Verdict::Ok | Verdict::Read));
-    Ok(Event::Outcome(Outcome { request, attempt, verdict, settled, kept, report }))
+    Ok(Event::Outcome(Outcome {
+        request,
+        attempt,
+        verdict,
+        // The simulator tells an end when there is one.
+        evidence: Evidence::Server,
+        settled,
+        kept,
+        report,
+    }))
 }
 
 fn report(fields: &mut Fields) -> Result<Option<Report>, Malformed> {
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -432,7 +432,10 @@
                 if conn.stuck() && !conn.upgraded.get() {
                     break "slow-client";
                 }
-                if let Some(ending) = ending.as_ref().filter(|ending| ending.since + LINGER <= Instant::now()) {
+                let resting = conn.idle() && !conn.begun();
+                let ending = ending.as_ref().filter(|ending| ending.since + LINGER <= Instant::now());
+                // A request that was read in this very moment is owed its answer.
+                if let Some(ending) = ending.filter(|_| resting) {
                     // What it was answered does not get away.
                     break ending.code;
                 }
--- a/router/src/config.rs
+++ b/router/src/config.rs
@@ -13,6 +13,7 @@
 use shedrelay::Settings;
 use shedrelay_settings::{Links, Names, Wire};
 use std::net::SocketAddr;
+use std::time::Duration;
 
 /// Descriptors kept for the listeners, the list's watch, operators' callers, standard streams and the runtime.
 const SPARE_SOCKETS: usize = 32 + MOST_CALLERS;
@@ -48,7 +49,9 @@
         error: std::io::Error,
     },
     /// An argument that is not known.
-    #[error("usage: fawnstream [--openai FILE] [--etcd FILE] [--ledger FILE] [--websocket FILE]: {0}")]
+    #[error(
+        "usage: fawnstream [--openai FILE] [--etcd FILE] [--ledger FILE] [--websocket FILE] [--stop-timeout SECONDS]: {0}"
+    )]
     Usage(String),
     /// A file is not what it should be.
     #[error("{path}: {problem}")]
@@ -125,6 +128,8 @@
     pub websocket: Option<websocket::WebSocket>,
     /// The usage ledger, where it is wanted.
     pub ledger: Option<ledger::Ledger>,
+    /// How long answers under way are waited for after SIGTERM.
+    pub stop_timeout: Duration,
 }
 
 impl Config {
@@ -199,6 +204,7 @@
             etcd: told_of.etcd.map(|path| etcd::Etcd::load(&path)).transpose()?,
             ledger: told_of.ledger.map(|path| ledger::Ledger::load(&path)).transpose()?,
             websocket,
+            stop_timeout: Duration::from_secs(told_of.stop_timeout),
             settings,
             names,
             links,
--- a/router/src/config/arguments.rs
+++ b/router/src/config/arguments.rs
@@ -5,7 +5,7 @@
 
 /// Routes language-model requests to separate readers and writers. Its configuration is the file that $PROXY_CONFIG
 /// names.
-#[derive(Debug, Default, Parser)]
+#[derive(Debug, Parser)]
 #[command(name = "fawnstream", version)]
 pub struct Arguments {
     /// The OpenAI-style front's settings; off without it
@@ -20,6 +20,9 @@
     /// Settings of long-lived WebSocket connections; off without it
     #[arg(long, value_name = "FILE")]
     pub websocket: Option<String>,
+    /// After SIGTERM answers under way have this long; then they are failed and the program ends
+    #[arg(long, value_name = "SECONDS", default_value_t = 60, value_parser = clap::value_parser!(u64).range(1..=3_600))]
+    pub stop_timeout: u64,
 }
 
 impl Arguments {
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,6 +7,7 @@
 use crate::log;
 use crate::names;
 use crate::usage::{self, Usage};
+use fawnstream_attempts::{Attempts, Repeat};
 use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
@@ -75,6 +76,8 @@
     pub used: Option<Tokens>,
     /// The server's report.
     pub report: Option<Report>,
+    /// How that is known.
+    pub evidence: Evidence,
     /// The whole request was written: the server may have begun it, whatever came of the connection.
     pub written: bool,
     /// A reason for the log.
@@ -86,19 +89,25 @@
 }
 
 impl Ended {
-    /// It was never sent.
-    pub fn unsent(reason: &'static str) -> Self {
+    /// An attempt that told nothing but how it ended.
+    pub fn new(verdict: Verdict, evidence: Evidence, written: bool, reason: &'static str) -> Self {
         Ended {
-            verdict: Verdict::Moot,
+            verdict,
             kept: None,
             used: None,
             report: None,
-            written: false,
+            evidence,
+            written,
             reason,
             unusable: false,
             idle: None,
         }
     }
+
+    /// It was never sent.
+    pub fn unsent(verdict: Verdict, reason: &'static str) -> Self {
+        Ended::new(verdict, Evidence::Router, false, reason)
+    }
 }
 
 /// The servers' side.
@@ -149,9 +158,8 @@
     _overdue: Option<Alarm>,
     deadline: Instant,
     attempts: u32,
-    /// When the last attempt was sent, and the first one that may have run.
-    began: Option<Instant>,
-    ran: Option<Instant>,
+    /// What the attempts prove, on the module's clock.
+    history: Attempts<ServerId>,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
     /// Lets an attempt begin that waits for a release.
     go: Option<oneshot::Sender<Option<Instant>>>,
@@ -192,8 +200,8 @@
     router: RefCell<Router>,
     names: shedrelay_settings::Names,
     roles: Vec<Role>,
-    /// For how long repeats of each class are dropped, where that ends.
-    windows: Vec<Option<Duration>>,
+    /// What repeats of each class do.
+    repeats: Vec<Repeat>,
     open: RefCell<HashMap<RequestId, Open>>,
     /// What is held for requests, when that is looked at next, and who is being asked to let go of it.
     holds: RefCell<Holds<Rc<str>>>,
@@ -227,11 +235,7 @@
         usage: Option<Rc<Usage>>,
     ) -> Result<Rc<Self>, SettingsError> {
         let roles = settings.kinds.iter().map(|kind| kind.role).collect();
-        let window = |class: &Class| match class.effect {
-            Effect::Keyed(_, window) => Some(Duration::from_nanos(window.0)),
-            _ => None,
-        };
-        let windows = settings.classes.iter().map(window).collect();
+        let repeats = settings.classes.iter().map(|class| class.effect.repeat()).collect();
         // What a reader of the log needs to tell what was late.
         for (name, class) in names.classes.iter().zip(&settings.classes) {
             let (aim, more) = (class.aim.secs() * 1e3, class.aim_per_1000.secs() * 1e3);
@@ -244,7 +248,7 @@
             router: RefCell::new(router),
             names,
             roles,
-            windows,
+            repeats,
             open: RefCell::default(),
             holds: RefCell::new(Holds::new(terms)),
             hold_alarm: RefCell::default(),
@@ -533,8 +537,7 @@
             _overdue: Some(overdue),
             deadline,
             attempts: 0,
-            began: None,
-            ran: None,
+            history: Attempts::default(),
             current: None,
             go: None,
             sent: None,
@@ -599,8 +602,7 @@
             _overdue: None,
             deadline: now,
             attempts: 1,
-            began: None,
-            ran: None,
+            history: Attempts::default(),
             current: Some((server.clone(), Some(stop))),
             go: None,
             sent: None,
@@ -652,7 +654,9 @@
             usage.handed(request);
         }
         let (verdict, settled) = (Verdict::Ok, true);
-        self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept: None, report: None }));
+        let evidence = Evidence::Server;
+        let outcome = Outcome { request, attempt, verdict, evidence, settled, kept: None, report: None };
+        self.handle(Event::Outcome(outcome));
     }
 
     /// The module never leaves a request so long; if it does, the client still gets its answer.
@@ -723,9 +727,10 @@
                 // Never sent whole: it proves that it never ran.
                 verdict = if open.answered { Verdict::Moot } else { Verdict::NoRoute };
             }
-            if !reads && !verdict.never_ran() {
-                open.ran = open.ran.or(open.began);
-            }
+            open.history.end(match ended.written {
+                true => verdict.proof(reads, ended.evidence),
+                false => Proof::NeverSent,
+            });
             if open.started {
                 let how = match (open.left, verdict) {
                     (_, Verdict::Ok) => "served",
@@ -752,8 +757,9 @@
             }
             open.answered
         };
-        let Ended { kept, report, .. } = ended;
-        self.handle(Event::Outcome(Outcome { request, attempt, verdict, settled, kept, report }));
+        let Ended { kept, report, evidence, .. } = ended;
+        let outcome = Outcome { request, attempt, verdict, evidence, settled, kept, report };
+        self.handle(Event::Outcome(outcome));
         self.settle(request);
     }
 
@@ -771,6 +777,41 @@
         }
     }
 
+    /// The final answer is a refusal, or a failure where the attempts don't prove that trying again is harmless. The
+    /// module asks the same; here what it does not know of an attempt that is out counts too.
+    fn refuse(&self, id: RequestId, back_off: Option<Duration>) {
+        let now = self.hold_time();
+        let may_refuse = |open: &Open| {
+            let repeat = self.repeat(open.exchange.call.class);
+            open.history.may_refuse(repeat, now, back_off.unwrap_or_default())
+        };
+        let allowed = self.open.borrow().get(&id).is_none_or(may_refuse);
+        self.answer(id, if allowed { Opening::Refused(back_off) } else { Opening::Failed });
+    }
+
+    /// What repeats of a class do. One that is not known here is repeated by nobody.
+    fn repeat(&self, class: ClassId) -> Repeat {
+        self.repeats.get(class.0).copied().unwrap_or(Repeat::Never)
+    }
+
+    /// Fails every request that still waits for its answer, and calls its attempt off: the process is about to end, and
+    /// a client whose connection closes without an answer takes its request for one that was never read.
+    pub fn fail_all(&self) {
+        let waiting: Vec<RequestId> = {
+            let open = self.open.borrow();
+            open.iter().filter(|(_, open)| !open.answered).map(|(id, _)| *id).collect()
+        };
+        for id in waiting {
+            let stop = |open: &mut Open| open.current.as_mut().and_then(|current| current.1.take());
+            if let Some(stop) = self.open.borrow_mut().get_mut(&id).and_then(stop) {
+                let _ = stop.send(());
+            }
+            self.answer(id, Opening::Failed);
+            self.handle(Event::Gone(id));
+            self.settle(id);
+        }
+    }
+
     /// One line for each request: its final outcome, which is counted here alone.
     fn done(&self, id: RequestId, open: &Open, outcome: &str, tokens: Option<Tokens>) {
         let call = &open.exchange.call;
@@ -944,7 +985,7 @@
                 }
             }
             Action::Refuse { request, backoff } => {
-                self.answer(request, Opening::Refused(backoff.map(|b| Duration::from_nanos(b.0))));
+                self.refuse(request, backoff.map(Duration::from));
                 self.later(request);
             }
             Action::Fail(request) => {
@@ -990,8 +1031,15 @@
             actix_rt::spawn(async move {
                 let Some(core) = me.upgrade() else { return };
                 let verdict = Verdict::Moot;
-                let outcome =
-                    Outcome { request: id, attempt, verdict, settled: false, kept: None, report: None };
+                let outcome = Outcome {
+                    request: id,
+                    attempt,
+                    verdict,
+                    evidence: Evidence::Router,
+                    settled: false,
+                    kept: None,
+                    report: None,
+                };
                 core.handle(Event::Outcome(outcome));
                 core.settle(id);
             });
@@ -1002,9 +1050,15 @@
         open.route[usize::from(server.role != Role::Reader)] = Some(server.clone());
         open.sent.get_or_insert_with(|| open.exchange.call.arrived.elapsed());
         let now = Instant::now();
-        open.began = Some(now);
-        let window = self.windows.get(open.exchange.call.class.0).copied().flatten();
-        let latest = open.ran.zip(window).filter(|_| server.role != Role::Reader);
+        let repeat = self.repeat(open.exchange.call.class);
+        let latest = match (open.history.ran(), repeat) {
+            (Some(ran), Repeat::DroppedEverywhere(window) | Repeat::DroppedInGroup(window)) => {
+                Some(self.instant(ran.at + window.saturating_sub(ON_THE_WAY)))
+            }
+            _ => None,
+        };
+        let latest = latest.filter(|_| server.role != Role::Reader);
+        open.history.begin(to, self.hold_time());
         let (expires, after) = match self.holds.borrow_mut().starts(id.0, self.hold_time()) {
             Start::Go(expires) => (expires.map(|at| self.instant(at)), None),
             Start::Wait => {
@@ -1022,7 +1076,7 @@
             until: wait.min(open.deadline),
             deadline: open.deadline,
             expires,
-            latest: latest.map(|(ran, window)| ran + window.saturating_sub(ON_THE_WAY)),
+            latest,
             after,
             stop: stopped,
         };
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -37,8 +37,9 @@
 const KILLED: Duration = Duration::from_secs(3);
 /// What is held has so much more than the settings say, on sockets: releases have this time.
 const HELD_MORE: Duration = Duration::from_millis(300);
-/// The longest wait for answers under way; the platform kills what is left.
-const LAST_ANSWERS: Duration = Duration::from_secs(60);
+/// When the wait for answers under way is over, requests that still wait are failed, and their answers have this time to
+/// go out.
+const FAILURES_SENT: Duration = Duration::from_secs(1);
 
 /// Why the program ends with a failure.
 #[derive(Debug, thiserror::Error)]
@@ -225,11 +226,18 @@
         handover.begin();
     });
     actix_rt::time::sleep(STILL_OPEN).await;
-    let last = Instant::now() + LAST_ANSWERS;
+    let last = Instant::now() + config.stop_timeout;
     let under_way = || shared.accepting() || shared.open() > 0 || core.busy() > 0 || core.holding().0 > 0;
     while under_way() && Instant::now() < last {
         actix_rt::time::sleep(Duration::from_millis(10)).await;
     }
+    if core.busy() > 0 {
+        core.fail_all();
+        let last = Instant::now() + FAILURES_SENT;
+        while under_way() && Instant::now() < last {
+            actix_rt::time::sleep(Duration::from_millis(10)).await;
+        }
+    }
     if let Some(usage) = usage {
         usage.stop().await;
     }
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -24,7 +24,7 @@
 use link::{Begin, Lane, NotBegun, Pool, Raw};
 use serde::Deserialize;
 use serde::de::IgnoredAny;
-use shedrelay::{Attempt, ClassId, Report, RequestId, Role, Verdict};
+use shedrelay::{Attempt, ClassId, Evidence, Report, RequestId, Role, Verdict};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -44,6 +44,9 @@
 /// An attempt that would have less than this is not begun: nothing answers in that time, and its end would be on the way
 /// together with the request's final answer, which says that it has ended.
 const LEAST_TIME: Duration = Duration::from_millis(20);
+/// A server may answer a request a second time, some milliseconds late. A rejection that comes this soon after the
+/// answer before it on the same connection may be such a one, and proves nothing of the request that is out.
+const STRAY_ANSWER: Duration = Duration::from_millis(20);
 /// A connection that breaks in this time after it was used again was broken before.
 const AT_ONCE: Duration = Duration::from_millis(100);
 
@@ -114,13 +117,12 @@
                     // Nobody can say so any more where the core has ended.
                     expires = after => expires.unwrap_or_default(),
                     _ = &mut order.stop => {
-                        let ended = Ended { verdict: Verdict::Cancelled, ..Ended::unsent("cancelled") };
-                        return core.ended(request, attempt, ended);
+                        return core.ended(request, attempt, Ended::unsent(Verdict::Cancelled, "cancelled"));
                     }
                 };
             }
             let Some(lane) = pool.take(&order.server) else {
-                return core.ended(request, attempt, Ended::unsent("no-sockets"));
+                return core.ended(request, attempt, Ended::unsent(Verdict::Moot, "no-sockets"));
             };
             let idle = lane.idle();
             let sent = Instant::now();
@@ -406,30 +408,16 @@
 /// An attempt whose stream has ended.
 fn over(tail: &Tail, verdict: Verdict, reason: &'static str) -> Ended {
     Ended {
-        verdict,
         kept: tail.kept,
         used: tail.used,
         report: tail.report,
-        written: true,
-        reason,
-        unusable: false,
-        idle: None,
+        ..Ended::new(verdict, Evidence::Server, true, reason)
     }
 }
 
 /// One attempt from its send to its end; none if its stream goes on in another process.
 async fn run(way: &mut Way<'_>, mut order: Order, lane: Lane) -> Option<Ended> {
     let (core, pool) = (way.core, way.pool);
-    let ended = |verdict, written, reason| Ended {
-        verdict,
-        kept: None,
-        used: None,
-        report: None,
-        written,
-        reason,
-        unusable: false,
-        idle: None,
-    };
     let call = &order.exchange.call;
     let useful = order.until.checked_sub(LEAST_TIME).unwrap_or(order.until);
     let latest = order.latest.map_or(useful, |latest| latest.min(useful));
@@ -439,7 +427,7 @@
         let (verdict, reason) = not_begun(forbidden);
         // Its connection is as good as before.
         pool.unused(lane);
-        return Some(ended(verdict, false, reason));
+        return Some(Ended::unsent(verdict, reason));
     }
     let body = lane.watch(begin, call.body.clone());
     let left = order.deadline.saturating_duration_since(Instant::now());
@@ -461,7 +449,7 @@
         let written = lane.written();
         // A connection closed before the last byte was written proves that nothing ran.
         let verdict = if verdict == Verdict::Timeout && !written { Verdict::NoRoute } else { verdict };
-        ended(verdict, written, reason)
+        Ended::new(verdict, Evidence::Router, written, reason)
     };
     // Kept until the reason is noted: dropping it ends the connection.
     let mut asked = std::pin::pin!(asked);
@@ -477,12 +465,12 @@
     let mut answer = match answer {
         Ok(answer) => answer,
         Err(error) => {
-            let (verdict, reason) = match lane.spoilt() {
-                Some(spoilt) => (spoilt_at(&order.server), spoilt),
+            let (verdict, evidence, reason) = match lane.spoilt() {
+                Some(spoilt) => (spoilt_at(&order.server), Evidence::Router, spoilt),
                 None => failed(&error, &lane),
             };
             lane.closing(reason);
-            return Some(ended(verdict, lane.written(), reason));
+            return Some(Ended::new(verdict, evidence, lane.written(), reason));
         }
     };
     let rejected = answer.headers().get("X-Rejected").is_some_and(|value| value.as_bytes() == b"1");
@@ -525,7 +513,10 @@
         (status, _) if status.is_client_error() => (Verdict::Moot, "unusable"),
         _ => (Verdict::Error, "bad-answer"),
     };
+    let stray = rejected && lane.idle().is_some_and(|idle| idle < STRAY_ANSWER);
     let body = small(&mut answer).await;
+    // An answer that does not come to its end leaves the attempt out until its connection is closed here.
+    let evidence = if body.is_some() && !stray { Evidence::Server } else { Evidence::Router };
     match body {
         Some(_) if !lane.ended() => pool.give(lane),
         _ => lane.closing("body-broken"),
@@ -538,14 +529,10 @@
     let kept =
         kept.and_then(|body| serde_json::from_slice::<Kept>(&body).ok()).map(|kept| kept.cached_tokens);
     Some(Ended {
-        verdict,
         kept,
-        used: None,
         report: told,
-        written: true,
-        reason,
         unusable: reason == "unusable",
-        idle: None,
+        ..Ended::new(verdict, evidence, true, reason)
     })
 }
 
@@ -575,17 +562,22 @@
 }
 
 /// Has it run? The protocol's table, for attempts that got no answer's head.
-fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, &'static str) {
+fn failed(error: &SendRequestError, lane: &Lane) -> (Verdict, Evidence, &'static str) {
+    if let Some(why) = lane.not_begun() {
+        let (verdict, reason) = not_begun(why);
+        return (verdict, Evidence::Router, reason);
+    }
     match error {
-        _ if lane.not_begun().is_some() => lane.not_begun().map_or((Verdict::Refused, "draining"), not_begun),
-        SendRequestError::Connect(ConnectError::Timeout) => (Verdict::NoRoute, "connect-timeout"),
+        SendRequestError::Connect(ConnectError::Timeout) => {
+            (Verdict::NoRoute, Evidence::Router, "connect-timeout")
+        }
         // Refused, or reset before it was written whole: a machine that vanished says nothing.
-        _ if !lane.written() => (Verdict::Refused, "no-connection"),
+        _ if !lane.written() => (Verdict::Refused, Evidence::Server, "no-connection"),
         // A process that dies resets its connections; this one lives, and could not read what came.
-        _ if lane.ended() => (Verdict::Closed, "closed"),
-        SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, "reset"),
-        SendRequestError::Response(_) => (Verdict::Error, "garbage"),
-        _ => (Verdict::Reset, "reset"),
+        _ if lane.ended() => (Verdict::Closed, Evidence::Server, "closed"),
+        SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, Evidence::Server, "reset"),
+        SendRequestError::Response(_) => (Verdict::Error, Evidence::Router, "garbage"),
+        _ => (Verdict::Reset, Evidence::Server, "reset"),
     }
 }
 
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -90,7 +90,9 @@
 /// What is known of the request now on a connection.
 #[derive(Default)]
 struct Meter {
-    body_done: Cell<bool>,
+    /// awc has the whole body; its last byte may still wait to be written.
+    body_taken: Cell<bool>,
+    /// The last byte was written.
     written: Cell<bool>,
     begun: Cell<bool>,
     not_begun: Cell<Option<NotBegun>>,
@@ -109,12 +111,21 @@
     backlog: Cell<usize>,
 }
 
+impl Meter {
+    /// The request's last byte was written: its server may begin it. A release counts as no attempt.
+    fn note_written(&self) {
+        if !self.written.replace(true) && self.begin.borrow().is_some() {
+            self.dispatches.set(self.dispatches.get() + 1);
+        }
+    }
+}
+
 /// What a connection that was taken out of awc's hands is told.
 fn detached() -> io::Error {
     io::Error::new(io::ErrorKind::NotConnected, "handed over")
 }
 
-/// A body that notes when it has been handed over whole.
+/// A body that notes when awc has taken it.
 pub struct Watched {
     body: Option<Bytes>,
     size: u64,
@@ -131,15 +142,13 @@
     fn poll_next(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<Option<Result<Bytes, Infallible>>> {
         let this = self.get_mut();
         let next = this.body.take().filter(|body| !body.is_empty());
-        if next.is_none() {
-            this.meter.body_done.set(true);
-        }
+        this.meter.body_taken.set(true);
         Poll::Ready(next.map(Ok))
     }
 }
 
-/// A connection that notes what passes over it, and hands on only answers that can be read. awc flushes once a
-/// request's last byte was written.
+/// A connection that notes what passes over it, and hands on only answers that can be read. awc writes all that it holds
+/// of a request at once: once it has taken the body, a write that leaves nothing over has written the last byte.
 pub struct Wire {
     address: SocketAddr,
     meter: Rc<Meter>,
@@ -255,21 +264,18 @@
             }
         }
         let wrote = this.with(|stream| stream.poll_write(cx, buf));
-        if matches!(wrote, Poll::Ready(Ok(_))) && !this.meter.begun.replace(true) {
+        let Poll::Ready(Ok(size)) = wrote else { return wrote };
+        if !this.meter.begun.replace(true) {
             *this.meter.frames.borrow_mut() = Some(Frames::new());
         }
+        if this.meter.body_taken.get() && size == buf.len() {
+            this.meter.note_written();
+        }
         wrote
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let this = self.get_mut();
-        if this.meter.body_done.get() && this.meter.begun.get() {
-            // A release counts as no attempt: it has no server to tell of.
-            if !this.meter.written.replace(true) && this.meter.begin.borrow().is_some() {
-                this.meter.dispatches.set(this.meter.dispatches.get() + 1);
-            }
-        }
-        this.with(|stream| stream.poll_flush(cx))
+        self.with(|stream| stream.poll_flush(cx))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -331,7 +337,7 @@
     /// Prepares for a request that counts as an attempt.
     pub fn watch(&self, begin: Begin, body: Bytes) -> Watched {
         self.unwatched();
-        self.meter.body_done.set(body.is_empty());
+        self.meter.body_taken.set(body.is_empty());
         *self.meter.begin.borrow_mut() = Some(begin);
         Watched { size: body.len() as u64, body: Some(body), meter: self.meter.clone() }
     }
@@ -339,7 +345,7 @@
     /// Prepares for a request that counts as none.
     pub fn unwatched(&self) {
         let meter = &self.meter;
-        let flags = [&meter.body_done, &meter.written, &meter.begun, &meter.ended, &meter.extra];
+        let flags = [&meter.body_taken, &meter.written, &meter.begun, &meter.ended, &meter.extra];
         flags.into_iter().for_each(|flag| flag.set(false));
         meter.not_begun.set(None);
         meter.spoilt.set(None);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -1,7 +1,10 @@
 //! What goes into a [`Router`](crate::Router) and what comes out: settings, events and actions.
 //! Plain types only; no decision is taken here.
 
+use fawnstream_attempts::Repeat;
+pub use fawnstream_attempts::{Evidence, Proof};
 use std::ops::{Add, AddAssign, Sub};
+use std::time::Duration;
 
 /// A moment on the caller's monotonic clock, in nanoseconds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -28,6 +31,19 @@
     }
 }
 
+impl From<Span> for Duration {
+    fn from(span: Span) -> Self {
+        Duration::from_nanos(span.0)
+    }
+}
+
+impl From<Time> for Duration {
+    /// Since the zero of the caller's clock.
+    fn from(time: Time) -> Self {
+        Duration::from_nanos(time.0)
+    }
+}
+
 impl Add<Span> for Time {
     type Output = Time;
     fn add(self, span: Span) -> Time {
@@ -145,6 +161,18 @@
     Unsafe,
 }
 
+impl Effect {
+    /// What repeats of such a request do.
+    pub fn repeat(self) -> Repeat {
+        match self {
+            Effect::Safe => Repeat::Harmless,
+            Effect::Keyed(Scope::All, window) => Repeat::DroppedEverywhere(window.into()),
+            Effect::Keyed(Scope::Zone | Scope::Cell, window) => Repeat::DroppedInGroup(window.into()),
+            Effect::Unsafe => Repeat::Never,
+        }
+    }
+}
+
 /// A request class.
 #[derive(Clone, Debug)]
 pub struct Class {
@@ -344,10 +372,13 @@
 }
 
 impl Verdict {
-    /// The attempt proves that nothing ran at its server, or ran to no effect.
-    pub fn never_ran(self) -> bool {
+    /// What an attempt that ended so proves of its server, which only reads or not.
+    pub fn proof(self, reads: bool, evidence: Evidence) -> Proof {
         use Verdict::{Expired, Full, Moot, NoRoute, NoState, Read, Refused};
-        matches!(self, Full | NoState | NoRoute | Refused | Moot | Read | Expired)
+        match self {
+            NoRoute | Refused | Moot | Expired => Proof::NeverSent,
+            _ => Proof::of(reads, matches!(self, Full | NoState | Read), evidence),
+        }
     }
 }
 
@@ -367,6 +398,8 @@
     pub attempt: Attempt,
     /// How it ended.
     pub verdict: Verdict,
+    /// How that is known.
+    pub evidence: Evidence,
     /// The request has its final answer.
     pub settled: bool,
     /// Prompt tokens found kept (with `Ok` and `Read`).
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -69,6 +69,7 @@
 //!     request: RequestId(7),
 //!     attempt: Attempt(0),
 //!     verdict: Verdict::Read,
+//!     evidence: Evidence::Server,
 //!     settled: false,
 //!     kept: Some(0.0),
 //!     report: None,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! Mixed servers take their own share whole. `docs/design.md` says where and when each departure acts.
 
 use crate::interface::*;
+use fawnstream_attempts::Attempts;
 use fawnstream_fleet::chance::{blend, fraction, mix};
 use fawnstream_fleet::reach::{Met, Reach, View};
 use fawnstream_fleet::{Cell, Cold, Fault, Kept, Limit, Popular, Purse, Quota, Told};
@@ -124,8 +125,8 @@
     /// A reader may hold a state for it.
     held: bool,
     reader: Option<ServerId>,
-    /// Where and when the first attempt was sent that may have run.
-    ran: Option<(ServerId, Time)>,
+    /// What its attempts prove.
+    history: Attempts<ServerId>,
     failed: Vec<ServerId>,
     cancelled: bool,
     /// Kept tokens believed there by own sends, without the credit of a home.
@@ -658,22 +659,16 @@
 
     /// A keyed request that may have run goes on only where repeats are dropped, while they are.
     fn in_scope(&self, id: ServerId, job: &Job) -> bool {
-        let Some((first, sent)) = job.ran else { return true };
-        match self.settings.classes[job.ask.class.0].effect {
-            Effect::Safe => true,
-            Effect::Unsafe => false,
-            Effect::Keyed(scope, window) => {
-                let (Some(a), Some(b)) = (self.servers.get(&first), self.servers.get(&id)) else {
-                    return false;
-                };
-                let same = match scope {
-                    Scope::All => true,
-                    Scope::Zone => a.member.zone == b.member.zone,
-                    Scope::Cell => a.member.cell == b.member.cell,
-                };
-                same && self.now + TICK < sent + window
+        let effect = self.settings.classes[job.ask.class.0].effect;
+        let grouped = |first: ServerId| {
+            let (Some(a), Some(b)) = (self.servers.get(&first), self.servers.get(&id)) else { return false };
+            match effect {
+                Effect::Keyed(Scope::Zone, _) => a.member.zone == b.member.zone,
+                Effect::Keyed(Scope::Cell, _) => a.member.cell == b.member.cell,
+                _ => true,
             }
-        }
+        };
+        job.history.may_repeat(effect.repeat(), self.now.into(), grouped)
     }
 
     /// Leans a session to mixed servers or away, at all routers alike, so that its texts stay in one place.
@@ -729,6 +724,7 @@
         job.overtaken = 0;
         (job.stage, job.at, job.sent) = (stage, Some(to), self.now);
         job.attempts += 1;
+        job.history.begin(to, self.now.into());
         job.cancelled = false;
         job.believed = server.believed(&job.ask, self.now, false);
         server.attempts += 1;
@@ -786,7 +782,7 @@
     }
 
     fn outcome(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
-        let Outcome { request: id, attempt, verdict, settled, kept, report } = outcome;
+        let Outcome { request: id, attempt, verdict, evidence, settled, kept, report } = outcome;
         let Some(job) = self.jobs.get_mut(&id).filter(|job| job.attempts == attempt.0 + 1) else { return };
         let (Some(at), stage) = (job.at.take(), job.stage) else { return };
         let was_read = self.take_back(id, at);
@@ -797,9 +793,7 @@
         }
         self.forget_left();
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        if !was_read && !verdict.never_ran() && job.ran.is_none() {
-            job.ran = Some((at, job.sent));
-        }
+        job.history.end(verdict.proof(was_read, evidence));
         job.held |= verdict == Verdict::Read;
         if settled || stage == Stage::Over {
             self.forget(id, out);
@@ -882,7 +876,7 @@
         let Some(job) = self.jobs.get_mut(&id) else { return };
         let effect = self.settings.classes[job.ask.class.0].effect;
         let gone = matches!(verdict, Verdict::NoState | Verdict::Spoilt | Verdict::Expired);
-        let repeatable = job.ran.is_none() || effect != Effect::Unsafe;
+        let repeatable = job.history.ran().is_none() || effect != Effect::Unsafe;
         if !matches!(verdict, Verdict::NoState | Verdict::Full) {
             job.failed.push(at);
         }
@@ -904,9 +898,10 @@
     /// The final answer, and nothing stays held.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get(&id) else { return };
-        let effect = self.settings.classes[job.ask.class.0].effect;
-        if job.ran.is_none() || matches!(effect, Effect::Safe | Effect::Keyed(Scope::All, _)) {
-            out.push(Action::Refuse { request: id, backoff: self.settings.max_backoff });
+        let repeat = self.settings.classes[job.ask.class.0].effect.repeat();
+        let backoff = self.settings.max_backoff;
+        if job.history.may_refuse(repeat, self.now.into(), backoff.unwrap_or_default().into()) {
+            out.push(Action::Refuse { request: id, backoff });
         } else {
             out.push(Action::Fail(id));
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -110,6 +110,7 @@
             request: RequestId(id),
             attempt: Attempt(attempt),
             verdict,
+            evidence: Evidence::Server,
             settled: verdict == Verdict::Ok,
             kept,
             report: None,
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -122,7 +122,50 @@
     late.now += 2_500 * MS;
     let done = late.end(1, 1, Verdict::Error);
     assert!(sent_to(&done).is_empty(), "the window is over");
-    assert!(refused(&done), "a refusal is allowed where all drop repeats");
+    assert!(failed(&done) && !refused(&done), "a client that tries again now would run it twice");
+}
+
+/// Where all servers drop repeats a refusal is harmless for as long as they do, and no longer.
+#[test]
+fn a_keyed_request_is_refused_only_while_its_repeat_would_be_dropped() {
+    for (spent, backoff, harmless) in
+        [(500, 300, true), (1_500, 300, true), (1_800, 300, false), (1_800, 0, true)]
+    {
+        let mut told = settings(Effect::Keyed(Scope::All, Span::from_millis(2_000)));
+        told.max_attempts = 2;
+        told.max_backoff = Some(Span::from_millis(backoff));
+        let mut bench = Bench::new(told, fleet());
+        bench.ask(1, None);
+        bench.end(1, 0, Verdict::Read);
+        bench.now += spent * MS;
+        let done = bench.end(1, 1, Verdict::Error);
+        assert_eq!((refused(&done), failed(&done)), (harmless, !harmless), "{spent} ms, told {backoff} ms");
+    }
+}
+
+/// A read that was cut off has no effect, but its server may not have heard yet: a refusal would overtake the close.
+#[test]
+fn a_read_that_was_given_up_is_no_ground_for_a_refusal() {
+    let keyed = |scope| Effect::Keyed(scope, Span::from_millis(2_000));
+    let once = [Effect::Unsafe, keyed(Scope::Zone), keyed(Scope::Cell)];
+    for (effect, evidence, verdict) in once.into_iter().flat_map(|effect| {
+        [
+            (Evidence::Router, Verdict::Timeout),
+            (Evidence::Router, Verdict::Cancelled),
+            (Evidence::Server, Verdict::Reset),
+        ]
+        .map(|(evidence, verdict)| (effect, evidence, verdict))
+    }) {
+        let mut bench = Bench::new(settings(effect), fleet());
+        bench.ask(1, None);
+        bench.now += 5_000 * MS;
+        let (request, attempt) = (RequestId(1), Attempt(0));
+        let outcome =
+            Outcome { request, attempt, verdict, evidence, settled: false, kept: None, report: None };
+        let done = bench.hear(Event::Outcome(outcome));
+        assert_eq!(refused(&done), evidence == Evidence::Server, "{effect:?} {verdict:?}: {done:?}");
+        assert_eq!(failed(&done), evidence == Evidence::Router);
+    }
 }
 
 #[test]
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -135,7 +135,15 @@
 
 fn outcome(id: u64, attempt: u32, verdict: Verdict) -> Event {
     let (request, attempt) = (RequestId(id), Attempt(attempt));
-    Event::Outcome(Outcome { request, attempt, verdict, settled: false, kept: None, report: None })
+    Event::Outcome(Outcome {
+        request,
+        attempt,
+        verdict,
+        evidence: Evidence::Server,
+        settled: false,
+        kept: None,
+        report: None,
+    })
 }
 
 fn part(parts: &Parts, kind: &str) -> f64 {
--- a/tests/symptoms.rs
+++ b/tests/symptoms.rs
@@ -281,6 +281,7 @@
             request: RequestId(id),
             attempt: Attempt(0),
             verdict: Verdict::Read,
+            evidence: Evidence::Server,
             settled: false,
             kept: None,
             report: Some(Report { memory_share: 0.1 }),
