--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -11,6 +11,7 @@
 use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
+use prometheus::{Histogram, HistogramOpts};
 use shedrelay::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -217,6 +218,8 @@
     /// One for each class: a class that is not known adds none.
     tallies: RefCell<Vec<Tally>>,
     dispatches: Rc<Cell<u64>>,
+    /// How long the module took for each event.
+    decisions: Option<Histogram>,
     /// The usage ledger, where there is one.
     usage: Option<Rc<Usage>>,
     born: Instant,
@@ -260,6 +263,7 @@
             on_news: RefCell::default(),
             tallies,
             dispatches: Rc::default(),
+            decisions: decision_times(),
             usage,
             born: Instant::now(),
             unix: unix.as_nanos() as u64,
@@ -366,6 +370,11 @@
         self.dispatches.get()
     }
 
+    /// How long decisions took, in seconds.
+    pub fn decisions(&self) -> Option<Histogram> {
+        self.decisions.clone()
+    }
+
     /// Where they are counted.
     pub fn dispatch_counter(&self) -> Rc<Cell<u64>> {
         self.dispatches.clone()
@@ -964,7 +973,11 @@
 
     fn handle(&self, event: Event) {
         let mut actions = Vec::new();
+        let began = Instant::now();
         self.router.borrow_mut().handle(self.now(), event, &mut actions);
+        if let Some(decisions) = &self.decisions {
+            decisions.observe(began.elapsed().as_secs_f64());
+        }
         let released = |action: &Action| match action {
             Action::Release(request) => Some(*request),
             _ => None,
@@ -1087,6 +1100,14 @@
     }
 }
 
+/// Times of decisions: 2 us to 65 ms, doubling. None if the library turns its name down, which it does not.
+fn decision_times() -> Option<Histogram> {
+    let buckets = prometheus::exponential_buckets(2e-6, 2.0, 16).ok()?;
+    let told =
+        HistogramOpts::new("router_decision_seconds", "Time that the decision module took for an event.");
+    Histogram::with_opts(told.buckets(buckets)).ok()
+}
+
 /// Why something is held too long, for the log.
 fn reason(why: Why) -> &'static str {
     match why {
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -56,6 +56,9 @@
     let (targets, disabled) = core.targets();
     page.counter("dispatches", "Attempts written whole to workers.", core.dispatches());
     page.gauge("concurrent", "Requests taken and not ended.", core.concurrent());
+    if let Some(decisions) = core.decisions() {
+        let _ = page.0.register(Box::new(decisions));
+    }
     let (held, late) = core.holding();
     page.gauge("holds", "Requests for which something is held at servers, or is being let go of.", held);
     page.counter("holds_late", "Requests for which something was held past the rule's time.", late);
