Begin the next attempt only when the close of a given-up one has arrived

Now the sending side of a given-up connection is ended, and the next attempt of the request waits until the server has ended its side too, or a quarter of the settings' connect time. given_up_order forces it on loopback, and fails without the wait (seen). Ruled out by reading: zones that the settings don't name, awc sending by itself, windows (20 ms and 40 ms before their end).

--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -1,6 +1,7 @@
 //! Servers: sends attempts, says how they ended by the protocol's table, reads load reports and releases what
 //! is held. Takes no decision. Nothing is ever sent twice: a connection that fails ends its attempt.
 
+mod closing;
 mod frames;
 mod link;
 pub mod upgrade;
@@ -18,6 +19,7 @@
 use awc::http::StatusCode;
 use awc::http::header::{CONTENT_TYPE, HeaderValue};
 use bytes::{Bytes, BytesMut};
+use closing::Closings;
 use fawnstream_holds::{Called, Terms};
 use fawnstream_ledger::entry::Tokens;
 use futures_core::Stream;
@@ -55,6 +57,7 @@
     core: Rc<Core>,
     pool: Rc<Pool>,
     handover: Rc<Handover>,
+    closings: Rc<Closings>,
     /// What a release waits for its answer.
     patience: Duration,
 }
@@ -70,7 +73,12 @@
     ) -> Rc<Self> {
         let pool = Pool::new(links, sockets, terms.at_once, core.dispatch_counter());
         pool.clone().sweep();
-        Rc::new(Fleet { core, pool, handover, patience: terms.patience() })
+        let closings = Closings::new(Duration::from_nanos(links.connect.0));
+        Rc::new(Fleet { core, pool, handover, closings, patience: terms.patience() })
+    }
+
+    fn way(&self) -> Way<'_> {
+        Way { core: &self.core, pool: &self.pool, handover: &self.handover, closings: &self.closings }
     }
 
     /// Goes on with a stream that another process began, once what this returns is called; until then nothing of it
@@ -97,7 +105,7 @@
             clients(end, client);
             actix_rt::spawn(async move {
                 let (request, attempt) = (order.request, order.attempt);
-                let mut way = Way { core: &fleet.core, pool: &fleet.pool, handover: &fleet.handover };
+                let mut way = fleet.way();
                 let ended = way.go_on(order, raw, tail).await;
                 way.tell(request, attempt, ended);
             });
@@ -108,9 +116,10 @@
 impl crate::core::Servers for Fleet {
     fn send(&self, mut order: Order) {
         let (core, pool, handover) = (self.core.clone(), self.pool.clone(), self.handover.clone());
+        let closings = self.closings.clone();
         actix_rt::spawn(async move {
             let (request, attempt) = (order.request, order.attempt);
-            let mut way = Way { core: &core, pool: &pool, handover: &handover };
+            let mut way = Way { core: &core, pool: &pool, handover: &handover, closings: &closings };
             if let Some(after) = order.after.take() {
                 order.expires = tokio::select! {
                     biased;
@@ -121,6 +130,15 @@
                     }
                 };
             }
+            tokio::select! {
+                biased;
+                () = closings.wait(request) => {}
+                // Too late for it then; that is told where attempts begin.
+                () = actix_rt::time::sleep_until(order.until.into()) => {}
+                _ = &mut order.stop => {
+                    return core.ended(request, attempt, Ended::unsent(Verdict::Cancelled, "cancelled"));
+                }
+            }
             let Some(lane) = pool.take(&order.server) else {
                 return core.ended(request, attempt, Ended::unsent(Verdict::Moot, "no-sockets"));
             };
@@ -273,6 +291,7 @@
     core: &'a Rc<Core>,
     pool: &'a Rc<Pool>,
     handover: &'a Rc<Handover>,
+    closings: &'a Rc<Closings>,
 }
 
 /// Where a stream comes from.
@@ -334,6 +353,14 @@
 }
 
 impl Way<'_> {
+    /// An attempt is given up that may still be out at its server, and another one may follow.
+    fn give_up(&self, order: &Order, lane: &Lane) {
+        if lane.written() && order.exchange.waits() {
+            let place = self.pool.carried();
+            self.closings.begin(order.request, place.and_then(|place| Some((lane.detach()?, place))));
+        }
+    }
+
     /// Tells the core how an attempt ended here.
     fn tell(&self, request: RequestId, attempt: Attempt, ended: Option<Ended>) {
         match ended {
@@ -455,12 +482,17 @@
     let mut asked = std::pin::pin!(asked);
     let answer = tokio::select! {
         biased;
-        answer = &mut asked => answer,
-        _ = &mut order.stop => return Some(cut(&lane, Verdict::Cancelled, "cancelled")),
-        () = actix_rt::time::sleep_until(until.into()) => {
-            return Some(cut(&lane, Verdict::Timeout, "timed-out"));
+        answer = &mut asked => Ok(answer),
+        _ = &mut order.stop => Err(cut(&lane, Verdict::Cancelled, "cancelled")),
+        () = actix_rt::time::sleep_until(until.into()) => Err(cut(&lane, Verdict::Timeout, "timed-out")),
+        () = expired(order.expires, &lane) => Err(cut(&lane, Verdict::Expired, "expired")),
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(ended) => {
+            way.give_up(&order, &lane);
+            return Some(ended);
         }
-        () = expired(order.expires, &lane) => return Some(cut(&lane, Verdict::Expired, "expired")),
     };
     let mut answer = match answer {
         Ok(answer) => answer,
@@ -470,6 +502,9 @@
                 None => failed(&error, &lane),
             };
             lane.closing(reason);
+            if evidence == Evidence::Router {
+                way.give_up(&order, &lane);
+            }
             return Some(Ended::new(verdict, evidence, lane.written(), reason));
         }
     };
@@ -487,6 +522,7 @@
                         pool.give(lane);
                     } else {
                         lane.closing(ended.reason);
+                        way.give_up(&order, &lane);
                     }
                     Some(ended)
                 }
@@ -519,7 +555,10 @@
     let evidence = if body.is_some() && !stray { Evidence::Server } else { Evidence::Router };
     match body {
         Some(_) if !lane.ended() => pool.give(lane),
-        _ => lane.closing("body-broken"),
+        _ => {
+            lane.closing("body-broken");
+            way.give_up(&order, &lane);
+        }
     }
     #[derive(Deserialize)]
     struct Kept {
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -424,7 +424,7 @@
                     peer.seen.clear();
                 }
             }
-            "end" => {
+            "end" | "hears" => {
                 let until = self.until();
                 let peer = self.peer(rest);
                 while peer.read() {
@@ -432,7 +432,9 @@
                 }
                 let left = String::from_utf8_lossy(&peer.seen);
                 assert!(left.is_empty(), "{rest}: more came: {left}");
-                self.peers.remove(rest);
+                if verb == "end" {
+                    self.peers.remove(rest);
+                }
             }
             "get" => {
                 let until = self.until();
