Read a keyed request again only in its group and window once it may have run

Now candidates of every role are in scope (src/logic.rs, candidates), and a request whose window is over is answered at once instead of waiting at the gate.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -528,7 +528,7 @@
     /// mass restarts, however many routers there are.
     fn candidates<'a>(&self, role: Role, job: &Job, look: &Look<'a>) -> Vec<Seen<'a>> {
         let mut all = look.seen[role as usize].clone();
-        all.retain(|seen| !job.failed.contains(&seen.id));
+        all.retain(|seen| !job.failed.contains(&seen.id) && self.in_scope(seen.id, job));
         if all.iter().all(|seen| seen.warmth >= 1.0) {
             return all;
         }
@@ -630,7 +630,6 @@
         if among.is_empty() {
             among = self.candidates(Role::Mixed, job, look);
         }
-        among.retain(|seen| self.in_scope(seen.id, job));
         let cell = job.reader.and_then(|id| self.servers.get(&id)).map(|s| s.member.cell);
         let hash = mix(self.seed ^ job.ask.id.0);
         let crowd = |cell: CellId| look.cells.get(&cell.0).map_or(1.0, |cell| cell.crowd);
@@ -657,7 +656,7 @@
         starts
     }
 
-    /// A keyed request that may have run goes on only where repeats are dropped, while they are.
+    /// A keyed request that may have run goes on only where repeats are dropped, while they are: to be read anew, too.
     fn in_scope(&self, id: ServerId, job: &Job) -> bool {
         let effect = self.settings.classes[job.ask.class.0].effect;
         let grouped = |first: ServerId| {
@@ -688,7 +687,7 @@
         if !reads && look.seen[Role::Mixed as usize].is_empty() && !self.settings.writers_read {
             return None;
         }
-        let mixed = self.best_match(Role::Mixed, job, look).filter(|(m, _)| self.in_scope(*m, job));
+        let mixed = self.best_match(Role::Mixed, job, look);
         let reader = if left >= 2 { self.best_match(Role::Reader, job, look) } else { None };
         let writer = self.best_writer(job, look);
         // Writers that read are the last resort, and few may: their answers stand still meanwhile.
@@ -874,9 +873,9 @@
     /// to the gate, so that retries queue with all others and never storm.
     fn again(&mut self, id: RequestId, at: ServerId, verdict: Verdict, read: bool, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
-        let effect = self.settings.classes[job.ask.class.0].effect;
+        let repeat = self.settings.classes[job.ask.class.0].effect.repeat();
         let gone = matches!(verdict, Verdict::NoState | Verdict::Spoilt | Verdict::Expired);
-        let repeatable = job.history.ran().is_none() || effect != Effect::Unsafe;
+        let repeatable = job.history.may_repeat(repeat, self.now.into(), |_| true);
         if !matches!(verdict, Verdict::NoState | Verdict::Full) {
             job.failed.push(at);
         }
@@ -987,9 +986,11 @@
         let late = |id: &RequestId| {
             let job = &self.jobs[id];
             // What a long prompt's aim has more is for reading it, not for waiting.
-            let aim = self.settings.classes[job.ask.class.0].aim;
+            let class = &self.settings.classes[job.ask.class.0];
+            let (aim, repeat) = (class.aim, class.effect.repeat());
+            let repeatable = job.history.may_repeat(repeat, self.now.into(), |_| true);
             let latest = job.arrived + (aim - usual).max(aim.times(LEAST_WAIT));
-            self.now >= latest || self.now + ANSWER_MARGIN >= job.deadline
+            self.now >= latest || self.now + ANSWER_MARGIN >= job.deadline || !repeatable
         };
         let late: Vec<_> = self.waiting.iter().copied().filter(late).collect();
         late.into_iter().for_each(|id| self.finish(id, out));
--- a/tests/repeats.rs
+++ b/tests/repeats.rs
@@ -128,17 +128,15 @@
         let (now, effect) = (self.bench.now, self.effect);
         let open = self.open.get_mut(&id).expect("sent for an open request");
         assert!(!open.answered && !open.left && !open.waits, "sent although answered, left or out");
-        if server > FIRST_WRITER {
-            for ran in open.attempts.iter().filter(|real| real.may_have_run()) {
-                let fits = match effect {
-                    Effect::Safe => true,
-                    Effect::Unsafe => false,
-                    Effect::Keyed(scope, window) => {
-                        now < ran.sent + window.0 && (scope == Scope::All || cell(server) == cell(ran.server))
-                    }
-                };
-                assert!(fits, "run again at {server} although it may have run at {}", ran.server);
-            }
+        for ran in open.attempts.iter().filter(|real| real.may_have_run()) {
+            let fits = match effect {
+                Effect::Safe => true,
+                Effect::Unsafe => false,
+                Effect::Keyed(scope, window) => {
+                    now < ran.sent + window.0 && (scope == Scope::All || cell(server) == cell(ran.server))
+                }
+            };
+            assert!(fits, "run again at {server} although it may have run at {}", ran.server);
         }
         open.waits = true;
         open.attempts.push(Real { server, sent: now, written: false, turned_away: false, out: true });
