Use a worker whose kind changes while it runs as what it is now

Read while the target's moving share of readers was worked through: an entry whose kind changed without a new start kept its old role in the module (Router::list) and, also with a new start, in the core (Core::listed), so a writer that became a reader got answers to write, and an attempt's proof was taken from what its server does by now and not from what it was sent for.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -426,7 +426,9 @@
             }
             for entry in &update.entries {
                 let Some(member) = self.member(entry) else { continue };
-                let known = list.get(&member.server).filter(|known| known.address == entry.address);
+                let role = self.roles[member.kind.0];
+                let same = |known: &&Rc<Server>| known.address == entry.address && known.role == role;
+                let known = list.get(&member.server).filter(same);
                 let server = known.cloned().unwrap_or_else(|| {
                     if member.up_since.is_some() {
                         let role =
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -120,6 +120,8 @@
     worth: f64,
     stage: Stage,
     at: Option<ServerId>,
+    /// Its last attempt was sent to be read, whatever its server does by now.
+    reads: bool,
     sent: Time,
     attempts: u32,
     /// A reader may hold a state for it.
@@ -370,11 +372,12 @@
         let drains = entry.state == ServerState::Leaving;
         self.drained = drains.then_some(self.now).or(self.drained);
         let old = self.servers.get_mut(&entry.server);
-        if let Some(server) = old.filter(|old| entry.up_since <= old.member.up_since) {
+        let same = |old: &Member| entry.up_since <= old.up_since && entry.kind == old.kind;
+        if let Some(server) = old.filter(|old| same(&old.member)) {
             server.member.state = entry.state;
             return;
         }
-        // New, or a restarted process, which has forgotten its texts: what was thought of it is void.
+        // New, of another kind, or a restarted process that forgot its texts: what was thought of it is void.
         let mut server = Server::new(entry, kind);
         if let Some(old) = self.servers.get(&entry.server) {
             (server.attempts, server.used, server.unread) = (old.attempts, old.used, old.unread);
@@ -656,7 +659,7 @@
         starts
     }
 
-    /// A keyed request that may have run goes on only where repeats are dropped, while they are: to be read anew, too.
+    /// A keyed request that may have run goes on only where and while repeats are dropped, also to be read anew.
     fn in_scope(&self, id: ServerId, job: &Job) -> bool {
         let effect = self.settings.classes[job.ask.class.0].effect;
         let grouped = |first: ServerId| {
@@ -722,6 +725,7 @@
         job.patience = usual.max(job.aim.times(PATIENCE_AIM));
         job.overtaken = 0;
         (job.stage, job.at, job.sent) = (stage, Some(to), self.now);
+        job.reads = stage == Stage::Reading;
         job.attempts += 1;
         job.history.begin(to, self.now.into());
         job.cancelled = false;
@@ -810,7 +814,7 @@
         server.attempts = server.attempts.saturating_sub(1);
         server.used = (server.used - unit(server.role, &job.ask)).max(0.0);
         server.unread = (server.unread - job.unread).max(0.0);
-        server.role == Role::Reader
+        job.reads
     }
 
     /// What an outcome says of its server.
