--- a/src/logic.rs
+++ b/src/logic.rs
@@ -659,7 +659,7 @@
         starts
     }
 
-    /// A keyed request that may have run goes on only where and while repeats are dropped, also to be read anew.
+    /// A keyed request that may have run goes on, also to be read, only where and while repeats are dropped.
     fn in_scope(&self, id: ServerId, job: &Job) -> bool {
         let effect = self.settings.classes[job.ask.class.0].effect;
         let grouped = |first: ServerId| {
