--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -2,6 +2,7 @@
 //! is held. Takes no decision. Nothing is ever sent twice: a connection that fails ends its attempt.
 
 mod closing;
+mod events;
 mod frames;
 mod link;
 pub mod upgrade;
@@ -11,22 +12,19 @@
 use crate::handover::{Carried, Form, Framing, Handover, Stays, Text};
 use crate::headers::IDEMPOTENCY_KEY;
 use crate::log;
-use crate::sse;
-use crate::usage;
 use actix_http::error::ParseError;
 use awc::ClientResponse;
 use awc::error::{ConnectError, SendRequestError};
 use awc::http::StatusCode;
 use awc::http::header::{CONTENT_TYPE, HeaderValue};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use closing::Closings;
+use events::{Garbage, Tail, report};
 use fawnstream_holds::{Called, Terms};
-use fawnstream_ledger::entry::Tokens;
 use futures_core::Stream;
 use link::{Begin, Lane, NotBegun, Pool, Raw};
 use serde::Deserialize;
-use serde::de::IgnoredAny;
-use shedrelay::{Attempt, ClassId, Evidence, Report, RequestId, Role, Verdict};
+use shedrelay::{Attempt, ClassId, Evidence, RequestId, Role, Verdict};
 use std::future::poll_fn;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -91,7 +89,7 @@
     ) -> Option<Box<dyn FnOnce()>> {
         let Carried { form, client, server } = carried;
         let raw = Raw::new(server, form.framing, self.pool.carried()?)?;
-        let tail = Tail { used: form.used, ..Tail::resume(form.event.0, form.done, form.kept)? };
+        let tail = Tail::resume(form.event.0, form.done, form.kept, form.used)?;
         let class = self.core.names().classes.iter().position(|class| *class == form.class);
         let age = Duration::from_millis(form.age_ms.min(LONGEST_AGE_MS));
         let told = form.bill.as_ref().map_or(0.0, |bill| bill.prompt);
@@ -163,129 +161,11 @@
     }
 }
 
-/// What a server says of its load.
-fn report(text: &[u8]) -> Option<Report> {
-    #[derive(Deserialize)]
-    struct Wire {
-        x0: f64,
-    }
-    let wire: Wire = serde_json::from_slice(text).ok()?;
-    Some(Report { memory_share: wire.x0 }).filter(|report| report.memory_share.is_finite())
-}
-
-/// An event that has not ended after so many bytes is none.
-const LARGEST_EVENT: usize = 64 * 1024;
 /// After the final event the last chunk comes in this time.
 const LAST_CHUNK: Duration = Duration::from_secs(1);
 /// A client that takes nothing of its answer for so long has left, whatever its connection says.
 const SLOW_CLIENT: Duration = Duration::from_secs(10);
 
-/// Holds a stream back until its events are whole and can be read, and notes what its last ones tell. Guards
-/// against handing on what no server made.
-#[derive(Default)]
-struct Tail {
-    /// The event that has not ended.
-    held: BytesMut,
-    /// Its lines up to here have been looked at.
-    seen: usize,
-    done: bool,
-    kept: Option<f64>,
-    used: Option<Tokens>,
-    report: Option<Report>,
-}
-
-/// A line that no event stream has.
-struct Garbage;
-
-impl Tail {
-    /// Goes on where another process stood. None if that is larger than any event.
-    fn resume(held: Vec<u8>, done: bool, kept: Option<f64>) -> Option<Self> {
-        let seen = held.iter().rposition(|byte| *byte == b'\n').map_or(0, |at| at + 1);
-        let fits = held.len() <= LARGEST_EVENT;
-        fits.then(|| Tail {
-            held: BytesMut::from(held.as_slice()),
-            seen,
-            done,
-            kept,
-            used: None,
-            report: None,
-        })
-    }
-
-    /// The events that this piece makes whole, as they came.
-    fn feed(&mut self, piece: &[u8]) -> Result<Bytes, Garbage> {
-        self.held.extend_from_slice(piece);
-        let mut whole = 0;
-        while let Some(end) = self.held[self.seen..].iter().position(|byte| *byte == b'\n') {
-            let end = self.seen + end + 1;
-            let line = self.held[self.seen..end].trim_ascii();
-            if line.is_empty() {
-                whole = end;
-            }
-            let Line { done, kept, used, report } = line_of(line)?;
-            self.done |= done;
-            self.used = used.or(self.used);
-            self.kept = kept.or(self.kept);
-            self.report = report.or(self.report);
-            self.seen = end;
-        }
-        if self.held.len() - whole > LARGEST_EVENT {
-            return Err(Garbage);
-        }
-        self.seen -= whole;
-        Ok(self.held.split_to(whole).freeze())
-    }
-
-    /// What is left when the stream has ended: lines that no empty one follows.
-    fn rest(&mut self) -> Result<Bytes, Garbage> {
-        if self.seen < self.held.len() {
-            return Err(Garbage);
-        }
-        self.seen = 0;
-        Ok(self.held.split().freeze())
-    }
-}
-
-/// What a line tells.
-#[derive(Default)]
-struct Line {
-    done: bool,
-    kept: Option<f64>,
-    used: Option<Tokens>,
-    report: Option<Report>,
-}
-
-fn line_of(line: &[u8]) -> Result<Line, Garbage> {
-    let mut told = Line::default();
-    if let Some(data) = sse::field(line, "data") {
-        told.done = data == b"[DONE]";
-        if !told.done && (data.first() != Some(&b'{') || serde_json::from_slice::<IgnoredAny>(data).is_err())
-        {
-            return Err(Garbage);
-        }
-        if data.windows(14).any(|part| part == b"\"prompt_tokens") {
-            let usage = serde_json::from_slice(data)
-                .ok()
-                .and_then(|mut value: serde_json::Value| value.as_object_mut()?.remove("usage"));
-            told.kept = usage.as_ref().and_then(cached);
-            told.used = usage.as_ref().and_then(usage::tokens);
-        }
-    } else if line.first() == Some(&b':') {
-        // A comment; a report that cannot be read is none, and its stream a good one.
-        told.report = sse::field(line, ": X-Load-Report").and_then(report);
-    } else if !line.is_empty()
-        && !["event", "id", "retry"].iter().any(|name| sse::field(line, name).is_some())
-    {
-        return Err(Garbage);
-    }
-    Ok(told)
-}
-
-/// Prompt tokens found kept, as the last events of a stream report them.
-fn cached(usage: &serde_json::Value) -> Option<f64> {
-    usage.pointer("/prompt_tokens_details/cached_tokens")?.as_f64()
-}
-
 /// What an attempt goes by.
 struct Way<'a> {
     core: &'a Rc<Core>,
--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -125,6 +125,11 @@
         self.down.send_replace(down);
     }
 
+    /// Whether it is silent now.
+    pub fn is_down(&self) -> bool {
+        *self.down.borrow()
+    }
+
     /// Changes entries and tells all watches.
     pub fn change(&self, changed: &[Member]) {
         let mut list = self.list.lock().unwrap_or_else(PoisonError::into_inner);
--- a/scale/src/faults.rs
+++ b/scale/src/faults.rs
@@ -1,5 +1,6 @@
 //! Failures of a point: racks, zones and regions that go and come back, and a discovery that falls silent.
 
+use crate::changes::Board;
 use crate::discovery::{Discovery, Member, Phase};
 use crate::layout::Place;
 use crate::plan::{Failing, Fault};
@@ -20,6 +21,8 @@
     pub members: Vec<Member>,
     /// The list.
     pub discovery: Arc<Discovery>,
+    /// When changes were written and heard.
+    pub board: Arc<Board>,
 }
 
 /// Plays one failure from its beginning to its end.
@@ -29,6 +32,11 @@
     if fault.kind == Failing::Discovery {
         stage.discovery.set_down(true);
         tokio::time::sleep(lasts).await;
+        // How long the last router takes to hear of what was missed shows in this change.
+        if let Some(last) = stage.members.last() {
+            stage.board.written(&last.id);
+            stage.discovery.change(&[Member { phase: Phase::Leaving, ..last.clone() }]);
+        }
         return stage.discovery.set_down(false);
     }
     let failing: Vec<usize> =
--- a/scale/src/point.rs
+++ b/scale/src/point.rs
@@ -7,7 +7,7 @@
 use crate::hollow::{Hollow, HollowError};
 use crate::layout::{Place, places};
 use crate::measure::{MeasureError, Sample, sample};
-use crate::plan::{Conditions, Failing, Fault, Size};
+use crate::plan::{Conditions, Fault, Size};
 use crate::process::{ProcessError, Router};
 use crate::settings::{configuration, zone};
 use crate::worker::{Pace, Work, Worker};
@@ -127,7 +127,7 @@
         let io = |what| move |error| PointError::Io { what, error };
         let folder = tempfile::tempdir().map_err(io("a folder for configurations"))?;
         let (board, work) = (Arc::<Board>::default(), Arc::<Work>::default());
-        let stage = Arc::new(self.stage(size, &work).await.map_err(io("a port for a worker"))?);
+        let stage = Arc::new(self.stage(size, &work, &board).await.map_err(io("a port for a worker"))?);
         let common = stage.discovery.open().await.map_err(io("a port for discovery"))?;
         let mut doors = Vec::new();
         for _ in 0..size.real {
@@ -206,7 +206,7 @@
         Ok(samples)
     }
 
-    async fn stage(&self, size: &Size, work: &Arc<Work>) -> std::io::Result<Stage> {
+    async fn stage(&self, size: &Size, work: &Arc<Work>, board: &Arc<Board>) -> std::io::Result<Stage> {
         let places = places(size, self.conditions);
         let (mut workers, mut members) = (Vec::new(), Vec::new());
         for place in &places {
@@ -215,7 +215,7 @@
             workers.push(worker);
         }
         let discovery = Discovery::new(members.clone());
-        Ok(Stage { places, workers, members, discovery })
+        Ok(Stage { places, workers, members, discovery, board: board.clone() })
     }
 
     /// Drains workers, one a change, and takes each back a while later, until the time is over.
@@ -223,7 +223,9 @@
         let mut random = Pcg64::seed_from_u64(self.conditions.seed);
         // What a failure takes down is not drained beside it.
         let down = |place: &Place| self.faults.iter().any(|fault| place.fails_with(fault.kind));
-        let free: Vec<usize> = (0..stage.places.len()).filter(|at| !down(&stage.places[*at])).collect();
+        // Nor the last one, which tells when a silence is over.
+        let ordinary = 0..stage.places.len().saturating_sub(1);
+        let free: Vec<usize> = ordinary.filter(|at| !down(&stage.places[*at])).collect();
         let gap = Duration::from_secs_f64(60.0 / size.changes_per_min.max(0.01));
         let mut next = random.random_range(0..free.len().max(1));
         loop {
@@ -232,12 +234,11 @@
             if Instant::now() >= until || free.is_empty() {
                 return;
             }
-            // While discovery is down nothing is written there.
-            let silent = |fault: &Fault| fault.kind == Failing::Discovery;
             let at = free[next % free.len()];
             next += 1;
             let entry = stage.members[at].clone();
-            if !self.faults.iter().any(silent) {
+            // What is written in silence is heard with what follows it.
+            if !stage.discovery.is_down() {
                 board.written(&entry.id);
             }
             stage.discovery.change(&[Member { phase: Phase::Leaving, ..entry.clone() }]);
