Reckon only the servers of the roles that a choice asks for

A look now gathers the servers once and weighs a role when it is first asked for (Look::seen), and takes any warm writer for the question whether there is one (warm_writer).

--- a/fleet/src/kept.rs
+++ b/fleet/src/kept.rs
@@ -36,6 +36,16 @@
         }
     }
 
+    /// The most tokens believed to be kept of any of these texts, each with its length.
+    pub fn longest(&self, now: f64, texts: &[(Option<u64>, f64)]) -> f64 {
+        texts.iter().map(|(key, most)| self.tokens(now, *key, *most)).fold(0.0, f64::max)
+    }
+
+    /// All of these texts are kept from now on.
+    pub fn learn_all(&mut self, now: f64, texts: &[(Option<u64>, f64)]) {
+        texts.iter().for_each(|(key, tokens)| self.learn(now, *key, *tokens));
+    }
+
     /// The server forgot what it was sent before this time.
     pub fn forget_before(&mut self, time: f64) {
         self.texts.retain(|_, (_, at)| *at >= time);
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod best;
 pub mod calls;
 pub mod cells;
 pub mod chance;
@@ -17,6 +18,7 @@
 pub mod reach;
 pub mod told;
 
+pub use best::best;
 pub use cells::{Cell, cells};
 pub use cold::{Cold, Purse};
 pub use fault::Fault;
--- a/scale/src/changes.rs
+++ b/scale/src/changes.rs
@@ -7,6 +7,8 @@
 
 /// Times are kept in microseconds, to three digits.
 const DIGITS: u8 = 3;
+/// A change that takes longer counts as this long.
+const LONGEST_US: u64 = 600_000_000;
 
 struct Change {
     written: Instant,
@@ -56,7 +58,7 @@
     pub fn spread(&self, after: Instant, routers: usize) -> Spread {
         let changes = self.changes.lock().unwrap_or_else(PoisonError::into_inner);
         let mut spread = Spread::default();
-        let Ok(mut times) = Histogram::<u64>::new(DIGITS) else { return spread };
+        let Ok(mut times) = Histogram::<u64>::new_with_bounds(1, LONGEST_US, DIGITS) else { return spread };
         for change in changes.iter().filter(|change| change.written >= after) {
             spread.changes += 1;
             if change.seen >= routers {
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -10,6 +10,7 @@
 use indicatif::{ProgressBar, ProgressStyle};
 use std::path::PathBuf;
 use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Runs routers among hollow workers and hollow routers, at the sizes that a plan names, and fits what they cost.
 #[derive(Parser)]
@@ -38,6 +39,8 @@
     Report(#[from] ReportError),
     #[error("the runtime: {0}")]
     Runtime(std::io::Error),
+    #[error("interrupted")]
+    Interrupted,
     #[error("{0}")]
     Router(#[from] fawnstream::program::Failure),
     #[error("{0}")]
@@ -96,6 +99,15 @@
     Ok(())
 }
 
+/// SIGINT or SIGTERM.
+async fn told_to_end() {
+    let Ok(mut terminate) = signal(SignalKind::terminate()) else { return std::future::pending().await };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = tokio::signal::ctrl_c() => {}
+    }
+}
+
 async fn play(plan: &Plan, program: Option<PathBuf>) -> Result<Vec<Point>, Failure> {
     let bench = Bench { program, conditions: &plan.conditions, faults: &plan.fault };
     let sizes = plan.points();
@@ -107,7 +119,12 @@
     for (vary, size) in sizes {
         let what = vary.map_or_else(String::new, |vary| format!("{} {}", vary.name(), vary.of(&size)));
         bar.set_message(what);
-        points.push(Point { vary, result: bench.play(&size).await? });
+        // A point that is given up takes its processes with it.
+        let result = tokio::select! {
+            result = bench.play(&size) => result?,
+            () = told_to_end() => return Err(Failure::Interrupted),
+        };
+        points.push(Point { vary, result });
         bar.inc(1);
     }
     bar.finish_and_clear();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -346,6 +346,24 @@
     pub tenant: Option<TenantId>,
 }
 
+impl Request {
+    /// Tokens that its answer's place will hold; the told maximum stands in for the answer's length.
+    pub fn size(&self) -> f64 {
+        self.prompt_len + self.max_out
+    }
+
+    /// It in the units of a server's limit: reads at a reader, else tokens.
+    pub fn unit(&self, role: Role) -> f64 {
+        if role == Role::Reader { 1.0 } else { self.size() }
+    }
+
+    /// The texts that it begins with and their lengths in tokens: its session's and its beginning.
+    pub fn texts(&self) -> [(Option<u64>, f64); 2] {
+        let number = |key: Option<Key>| key.map(|key| key.0);
+        [(number(self.session), self.prompt_len), (number(self.prefix), self.prefix_len)]
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,8 +9,8 @@
 use fawnstream_fleet::chance::{blend, fraction, mix};
 use fawnstream_fleet::reach::{Met, Reach, View};
 use fawnstream_fleet::{Cell, Cold, Fault, Kept, Limit, Popular, Purse, Quota, Told};
-use fawnstream_fleet::{cells, cold::younger, homes, kept, limit, patience::stretch, told};
-use std::{collections::BTreeMap, time::Duration};
+use fawnstream_fleet::{best, cells, cold::younger, homes, kept, limit, patience::stretch, told};
+use std::{cell::OnceCell, collections::BTreeMap, time::Duration};
 
 /// A beginning has one home, and so many more for each reader's part of all requests that it has.
 const HOMES: f64 = 4.0;
@@ -156,7 +156,10 @@
 
 /// What all choices at one moment go by: see `Router::look`.
 struct Look<'a> {
-    seen: [Vec<Seen<'a>>; 3],
+    by_role: [Vec<(ServerId, &'a Server)>; 3],
+    /// Those of each role that may be used, reckoned when they are first asked for.
+    seen: [OnceCell<Vec<Seen<'a>>>; 3],
+    reach: View<'a>,
     cells: BTreeMap<u64, Cell>,
     /// What is out at readers and at the others, and what those start with.
     out: [(f64, f64); 2],
@@ -197,20 +200,6 @@
     now: Time,
 }
 
-/// Tokens that a request's answer will hold; the told maximum stands in for its length.
-fn size(ask: &Request) -> f64 {
-    ask.prompt_len + ask.max_out
-}
-
-/// A request in the units of its server's limit: reads at a reader, else tokens.
-fn unit(role: Role, ask: &Request) -> f64 {
-    if role == Role::Reader { 1.0 } else { size(ask) }
-}
-
-fn best(scored: impl Iterator<Item = (ServerId, f64)>) -> Option<(ServerId, f64)> {
-    scored.max_by(|a, b| a.1.total_cmp(&b.1))
-}
-
 impl Server {
     fn new(member: &Member, kind: &Kind) -> Self {
         let told = kind.memory_tokens.filter(|m| *m > 0.0).unwrap_or(UNTOLD_MEMORY);
@@ -227,15 +216,12 @@
     }
 
     fn believed(&self, ask: &Request, now: Time, home: bool) -> f64 {
-        let kept = |key: Option<Key>, most| self.kept.tokens((now - Time(0)).secs(), key.map(|k| k.0), most);
         let home = if home { ask.prefix_len } else { 0.0 };
-        kept(ask.session, ask.prompt_len).max(kept(ask.prefix, ask.prefix_len)).max(home)
+        self.kept.longest((now - Time(0)).secs(), &ask.texts()).max(home)
     }
 
     fn learn(&mut self, ask: &Request, now: Time) {
-        let now = (now - Time(0)).secs();
-        self.kept.learn(now, ask.session.map(|key| key.0), ask.prompt_len);
-        self.kept.learn(now, ask.prefix.map(|key| key.0), ask.prefix_len);
+        self.kept.learn_all((now - Time(0)).secs(), &ask.texts());
     }
 }
 
@@ -444,10 +430,10 @@
         if from >= self.waiting.len() {
             return None;
         }
-        let look = self.look([true; 3]);
+        let look = self.look();
         for (place, id) in self.waiting.iter().enumerate().skip(from) {
             let job = &self.jobs[id];
-            if !self.fits(false, look.out[1], size(&job.ask)) {
+            if !self.fits(false, look.out[1], job.ask.size()) {
                 return None;
             }
             if !anew && job.awaits.get().is_some_and(|home| self.busy(home, job)) {
@@ -464,7 +450,7 @@
     fn busy(&self, at: ServerId, job: &Job) -> bool {
         self.servers.get(&at).filter(|server| server.usable(self.now)).is_some_and(|server| {
             let reads = server.role == Role::Reader;
-            let limit = self.limit(reads, self.start(server), unit(server.role, &job.ask));
+            let limit = self.limit(reads, self.start(server), job.ask.unit(server.role));
             server.attempts > 0 && server.used >= limit
         })
     }
@@ -479,14 +465,18 @@
         start * self.weight
     }
 
-    /// What is out at the readers or at the others, and what the usable ones start with. A request that is
+    /// What is out at the readers and at the others, and what the usable ones start with. A request that is
     /// being read counts for its writer too.
-    fn out_and_start(&self, reads: bool) -> (f64, f64) {
-        let pool = self.servers.values().filter(|s| (s.role == Role::Reader) == reads);
-        let reading = self.jobs.values().filter(|job| !reads && job.stage == Stage::Reading);
-        let start = |s: &Server| if s.usable(self.now) { self.start(s) } else { 0.0 };
-        let (used, start) = pool.fold((0.0, 0.0), |sum, s| (sum.0 + s.used, sum.1 + start(s)));
-        (used + reading.map(|job| size(&job.ask)).sum::<f64>(), start.max(1.0))
+    fn outs(&self) -> [(f64, f64); 2] {
+        let mut outs = [(0.0, 0.0); 2];
+        for server in self.servers.values() {
+            let (used, start) = &mut outs[usize::from(server.role != Role::Reader)];
+            *used += server.used;
+            *start += if server.usable(self.now) { self.start(server) } else { 0.0 };
+        }
+        let reading = self.jobs.values().filter(|job| job.stage == Stage::Reading);
+        outs[1].0 += reading.map(|job| job.ask.size()).sum::<f64>();
+        outs.map(|(used, start)| (used, start.max(1.0)))
     }
 
     /// Whether readers or writers may be given so much more, with what is out there and what they start with.
@@ -497,47 +487,48 @@
     /// The limit follows the answers: it grows while they are quick, and falls when they are late.
     fn adapt(&mut self, id: RequestId, at: ServerId, late: bool) {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get(&at)) else { return };
-        let (reads, one) = (server.role == Role::Reader, unit(server.role, &job.ask));
-        let (used, start) = self.out_and_start(reads);
+        let (reads, one) = (server.role == Role::Reader, job.ask.unit(server.role));
+        let (used, start) = self.outs()[usize::from(!reads)];
         self.limits[usize::from(!reads)].answered(late, used, start, one);
     }
 
     // Choices.
 
-    /// All that may be used now, of the roles asked for by their numbers, and what no request changes. Guards
+    /// All that may be used now, by role, and what no request changes. Guards
     /// against reckoning it anew for each that waits: a line of 100 cost 6 ms an event at 100 servers.
-    fn look<'a>(&'a self, roles: [bool; 3]) -> Look<'a> {
-        let reach = self.view();
+    fn look(&self) -> Look<'_> {
         let mut by_role = [const { Vec::new() }; 3];
-        let asked = self.servers.iter().filter(|(_, server)| roles[server.role as usize]);
-        asked.for_each(|(id, server)| by_role[server.role as usize].push((id, server)));
-        let seen = [Role::Reader, Role::Writer, Role::Mixed].map(|role| {
-            let peers = &by_role[role as usize];
+        self.servers.iter().for_each(|(id, server)| by_role[server.role as usize].push((*id, server)));
+        let reads = |role| (role != Role::Mixed).then_some(role == Role::Reader);
+        let usable = self.servers.values().filter(|s| s.usable(self.now));
+        let cells = cells(usable.map(|s| (s.member.cell.0, reads(s.role))));
+        Look { by_role, seen: Default::default(), reach: self.view(), cells, out: self.outs() }
+    }
+
+    /// The servers of a role that may be used now, at a look.
+    fn seen<'a, 'l>(&'a self, role: Role, look: &'l Look<'a>) -> &'l [Seen<'a>] {
+        look.seen[role as usize].get_or_init(|| {
+            let peers = &look.by_role[role as usize];
             let mean = told::mean(self.secs(), peers.iter().map(|(_, s)| s.report));
-            let starts = self.starts(role);
+            let (starts, alone) = (self.starts(role), f64::from(self.settings.routers).sqrt());
             // The more routers, the less one read of ours tells of the load.
-            let all = peers.iter().map(|(_, s)| f64::from(s.attempts)).sum::<f64>();
-            let all = all + f64::from(self.settings.routers).sqrt();
-            let see = |&(id, server): &(&ServerId, &'a Server)| {
-                let against = FAULT_WEIGHT * self.against(server, &reach);
-                let load = self.load(server, f64::from(server.attempts) / all, mean) + against;
-                let (full, warmth) = (self.fullness(server, mean, &reach), self.warmth(server));
+            let own = peers.iter().map(|(_, s)| f64::from(s.attempts)).sum::<f64>();
+            let see = |&(id, server): &(ServerId, &'a Server)| {
+                let against = FAULT_WEIGHT * self.against(server, &look.reach);
+                let load = self.load(server, f64::from(server.attempts) / (own + alone), mean) + against;
+                let (full, warmth) = (self.fullness(server, mean, &look.reach), self.warmth(server));
                 let soon = RELEASE_WEIGHT * younger(&starts, &server.member.up_since);
-                Seen { id: *id, server, load, full, soon, warmth }
+                Seen { id, server, load, full, soon, warmth }
             };
             peers.iter().filter(|(_, s)| s.usable(self.now)).map(see).collect()
-        });
-        let reads = |role| (role != Role::Mixed).then_some(role == Role::Reader);
-        let usable = self.servers.values().filter(|s| s.usable(self.now));
-        let cells = cells(usable.map(|s| (s.member.cell.0, reads(s.role))));
-        Look { seen, cells, out: [true, false].map(|reads| self.out_and_start(reads)) }
+        })
     }
 
     /// Servers of a role that may be used; of cold ones those that the request draws, while this router's
     /// purse has something for them. Guards against falling over while cold and rush-back after drains or
     /// mass restarts, however many routers there are.
-    fn candidates<'a>(&self, role: Role, job: &Job, look: &Look<'a>) -> Vec<Seen<'a>> {
-        let mut all = look.seen[role as usize].clone();
+    fn candidates<'a>(&'a self, role: Role, job: &Job, look: &Look<'a>) -> Vec<Seen<'a>> {
+        let mut all = self.seen(role, look).to_vec();
         all.retain(|seen| !job.failed.contains(&seen.id) && self.in_scope(seen.id, job));
         if all.iter().all(|seen| seen.warmth >= 1.0) {
             return all;
@@ -582,7 +573,7 @@
     }
 
     /// The reader (or mixed server) with the best match minus load, and its believed tokens.
-    fn best_match(&self, role: Role, job: &Job, look: &Look) -> Option<(ServerId, f64)> {
+    fn best_match<'a>(&'a self, role: Role, job: &Job, look: &Look<'a>) -> Option<(ServerId, f64)> {
         let among = self.candidates(role, job, look);
         let homes = self.homes(job, &among, look);
         let session = job.ask.session.map_or(job.ask.id.0, |key| key.0);
@@ -630,7 +621,7 @@
 
     /// The writer with most room, in the reader's cell unless another has far more. Where a cell's readers
     /// are more than its writers' part, the rest of the requests spills to cells with fewer.
-    fn best_writer(&self, job: &Job, look: &Look) -> Option<(ServerId, f64)> {
+    fn best_writer<'a>(&'a self, job: &Job, look: &Look<'a>) -> Option<(ServerId, f64)> {
         let mut among = self.candidates(Role::Writer, job, look);
         if among.is_empty() {
             among = self.candidates(Role::Mixed, job, look);
@@ -651,6 +642,15 @@
         best(among.iter().map(score))
     }
 
+    /// Any writer that is open to this request without a draw.
+    fn warm_writer(&self, job: &Job, look: &Look) -> Option<(ServerId, f64)> {
+        let free = |(id, server): &&(ServerId, &Server)| {
+            let warm = server.usable(self.now) && self.warmth(server) >= 1.0;
+            warm && !job.failed.contains(id) && self.in_scope(*id, job)
+        };
+        look.by_role[Role::Writer as usize].iter().find(free).map(|(id, _)| (*id, 0.0))
+    }
+
     /// When the listed servers of a role started, in order; none while no release goes on. Releases replace
     /// what has run longest, and streams break with the process that makes them.
     fn starts(&self, role: Role) -> Vec<Option<Time>> {
@@ -682,23 +682,25 @@
 
     /// Where a request goes next: whole to a mixed server where that has more room, else to a reader. None if
     /// no server may take it now.
-    fn dispatch(&self, job: &Job, look: &Look) -> Option<(ServerId, Stage)> {
+    fn dispatch<'a>(&'a self, job: &Job, look: &Look<'a>) -> Option<(ServerId, Stage)> {
         let left = self.settings.max_attempts.saturating_sub(job.attempts);
         let reads = self.fits(true, look.out[0], 1.0);
         // Guards against choosing for each that waits where nobody may be sent to: only readers can take it.
-        if !reads && look.seen[Role::Mixed as usize].is_empty() && !self.settings.writers_read {
+        let staged = self.seen(Role::Mixed, look).is_empty() && !self.settings.writers_read;
+        if staged && !reads {
             return None;
         }
         let mixed = self.best_match(Role::Mixed, job, look);
         let reader = if left >= 2 { self.best_match(Role::Reader, job, look) } else { None };
-        let writer = self.best_writer(job, look);
+        // Which writer matters only beside a mixed server, or where it may read.
+        let writer = self.warm_writer(job, look).filter(|_| staged).or_else(|| self.best_writer(job, look));
         // Writers that read are the last resort, and few may: their answers stand still meanwhile.
-        let spare = || self.fits(false, look.out[1], UNREAD * size(&job.ask));
+        let spare = || self.fits(false, look.out[1], UNREAD * job.ask.size());
         let unread = self.settings.writers_read && left >= 1 && spare();
         let (to, stage) = match (mixed, reader, writer) {
             (Some((m, kept)), Some((r, read)), Some((_, room))) => {
                 let more_kept = (kept - read) / job.ask.prompt_len.max(1.0);
-                let full = look.seen[Role::Mixed as usize].iter().find(|seen| seen.id == m);
+                let full = self.seen(Role::Mixed, look).iter().find(|seen| seen.id == m);
                 let whole = more_kept - full.map_or(0.0, |seen| seen.full) + self.leaning(job) > room;
                 if whole { (m, Stage::Writing) } else { (r, Stage::Reading) }
             }
@@ -729,7 +731,7 @@
         job.cancelled = false;
         job.believed = server.believed(&job.ask, self.now, false);
         server.attempts += 1;
-        server.used += unit(server.role, &job.ask);
+        server.used += job.ask.unit(server.role);
         job.unread = if stage == Stage::Reading { (job.ask.prompt_len - job.believed).max(0.0) } else { 0.0 };
         server.unread += job.unread;
         if stage == Stage::Reading {
@@ -812,7 +814,7 @@
     fn take_back(&mut self, id: RequestId, at: ServerId) -> bool {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get_mut(&at)) else { return false };
         server.attempts = server.attempts.saturating_sub(1);
-        server.used = (server.used - unit(server.role, &job.ask)).max(0.0);
+        server.used = (server.used - job.ask.unit(server.role)).max(0.0);
         server.unread = (server.unread - job.unread).max(0.0);
         job.reads
     }
@@ -867,7 +869,7 @@
     fn write(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let job = &self.jobs[&id];
         let allowed = job.attempts < self.settings.max_attempts && self.now < job.deadline;
-        match self.best_writer(job, &self.look([false, true, true])).filter(|_| allowed) {
+        match self.best_writer(job, &self.look()).filter(|_| allowed) {
             Some((writer, _)) => self.send(id, writer, Stage::Writing, out),
             None => self.finish(id, out),
         }
@@ -988,9 +990,8 @@
             let job = &self.jobs[id];
             // What a long prompt's aim has more is for reading it, not for waiting.
             let class = &self.settings.classes[job.ask.class.0];
-            let (aim, repeat) = (class.aim, class.effect.repeat());
-            let repeatable = job.history.may_repeat(repeat, self.now.into(), |_| true);
-            let latest = job.arrived + (aim - usual).max(aim.times(LEAST_WAIT));
+            let repeatable = job.history.may_repeat(class.effect.repeat(), self.now.into(), |_| true);
+            let latest = job.arrived + (class.aim - usual).max(class.aim.times(LEAST_WAIT));
             self.now >= latest || self.now + ANSWER_MARGIN >= job.deadline || !repeatable
         };
         let late: Vec<_> = self.waiting.iter().copied().filter(late).collect();
