End the scale run's workers and addresses with their point

Each finished point left its workers' accept loops spinning (the sender that takes a worker down had gone, which ended accept() at once, for ever), so later points were starved: 15 requests a second of 31 asked, and metrics that came too late. Now they end.

--- a/scale/src/discovery.rs
+++ b/scale/src/discovery.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::{broadcast, watch};
+use tokio::task::JoinHandle;
 
 /// A watch says something at least this often.
 const HEARTBEAT: Duration = Duration::from_secs(2);
@@ -93,6 +94,13 @@
     /// Where routers call.
     pub address: SocketAddr,
     traffic: Arc<Traffic>,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for Door {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
 }
 
 impl Door {
@@ -116,8 +124,8 @@
     pub async fn open(self: &Arc<Self>) -> std::io::Result<Door> {
         let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
         let (address, traffic) = (listener.local_addr()?, Arc::<Traffic>::default());
-        tokio::spawn(accept(self.clone(), listener, traffic.clone()));
-        Ok(Door { address, traffic })
+        let accepting = tokio::spawn(accept(self.clone(), listener, traffic.clone()));
+        Ok(Door { address, traffic, accepting })
     }
 
     /// From now on it says nothing and takes no new call, or it is back.
--- a/scale/src/worker.rs
+++ b/scale/src/worker.rs
@@ -102,7 +102,8 @@
         };
         accept(&accepting, &mut up, reads, pace, &work).await;
         drop(accepting);
-        if up.wait_for(|up| *up).await.is_err() {
+        // Nobody can take it down or bring it back any more: its point is over.
+        if up.has_changed().is_err() || up.wait_for(|up| *up).await.is_err() {
             return;
         }
     }
