--- a/scale/src/point.rs
+++ b/scale/src/point.rs
@@ -2,6 +2,7 @@
 
 use crate::changes::{Board, Spread};
 use crate::clients::{Answers, Clients};
+use crate::counted::Counts;
 use crate::discovery::{Discovery, Door, Member, Phase};
 use crate::faults::{self, Stage};
 use crate::hollow::{Hollow, HollowError};
@@ -18,6 +19,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use tempfile::TempDir;
 
 /// Threads that hollow routers are spread over.
 const HOLLOW_THREADS: usize = 3;
@@ -90,7 +92,7 @@
 
 /// What was measured at one point.
 #[derive(Clone, Debug, Serialize)]
-pub struct Result {
+pub struct Measured {
     /// Its size.
     pub size: Size,
     /// Seconds measured.
@@ -121,89 +123,92 @@
     pub faults: &'a [Fault],
 }
 
+/// Workers, discovery and hollow routers of one point; real routers are told where they are.
+struct Surroundings {
+    stage: Arc<Stage>,
+    work: Arc<Work>,
+    /// Discovery's addresses, one for each real router.
+    doors: Vec<Door>,
+    hollow: Hollow,
+    /// The hollow routers' address of discovery.
+    _common: Door,
+    /// The real routers' configurations.
+    folder: TempDir,
+}
+
+/// Real routers and their clients.
+struct Real {
+    routers: Vec<Router>,
+    clients: Vec<Clients>,
+    answers: Arc<Answers>,
+}
+
+/// All that is counted, at one moment.
+struct Counters {
+    at: Instant,
+    samples: Vec<Sample>,
+    calls: Vec<Counts>,
+    answers: [u64; 3],
+    worker_bytes: u64,
+}
+
 impl Bench<'_> {
     /// Plays one point.
-    pub async fn play(&self, size: &Size) -> std::result::Result<Result, PointError> {
+    pub async fn play(&self, size: &Size) -> Result<Measured, PointError> {
+        let around = self.surround(size).await?;
+        let measured = self.measure(size, &around).await;
+        around.hollow.stop();
+        measured
+    }
+
+    async fn surround(&self, size: &Size) -> Result<Surroundings, PointError> {
         let io = |what| move |error| PointError::Io { what, error };
         let folder = tempfile::tempdir().map_err(io("a folder for configurations"))?;
         let (board, work) = (Arc::<Board>::default(), Arc::<Work>::default());
         let stage = Arc::new(self.stage(size, &work, &board).await.map_err(io("a port for a worker"))?);
-        let common = stage.discovery.open().await.map_err(io("a port for discovery"))?;
+        let port = io("a port for discovery");
+        let common = stage.discovery.open().await.map_err(port)?;
         let mut doors = Vec::new();
         for _ in 0..size.real {
-            doors.push(stage.discovery.open().await.map_err(io("a port for discovery"))?);
+            doors.push(stage.discovery.open().await.map_err(port)?);
         }
-        let hollow = Hollow::start(size, self.conditions, common.address, board.clone(), HOLLOW_THREADS)?;
-        let played = self.measure(size, &folder, &doors, &stage, &board, &work, &hollow).await;
-        hollow.stop();
-        played
+        let hollow = Hollow::start(size, self.conditions, common.address, board, HOLLOW_THREADS)?;
+        Ok(Surroundings { stage, work, doors, hollow, _common: common, folder })
     }
 
-    #[expect(clippy::too_many_arguments, reason = "each is a part of the point that ends after it")]
-    async fn measure(
-        &self,
-        size: &Size,
-        folder: &tempfile::TempDir,
-        doors: &[Door],
-        stage: &Arc<Stage>,
-        board: &Arc<Board>,
-        work: &Arc<Work>,
-        hollow: &Hollow,
-    ) -> std::result::Result<Result, PointError> {
+    async fn measure(&self, size: &Size, around: &Surroundings) -> Result<Measured, PointError> {
+        let real = self.start_real(size, around)?;
+        tokio::time::sleep(Duration::from_secs_f64(self.conditions.warmup_s)).await;
+        let before = real.count(around).await?;
+        let fail = |fault: &Fault| tokio::spawn(faults::play(around.stage.clone(), fault.clone()));
+        let failing: Vec<_> = self.faults.iter().map(fail).collect();
+        let until = before.at + Duration::from_secs_f64(self.conditions.seconds);
+        self.change(size, &around.stage, until).await;
+        let after = real.count(around).await?;
+        drop(real.clients);
+        for fault in failing {
+            let _ = fault.await;
+        }
+        tokio::time::sleep(LAST_CHANGES).await;
+        Ok(measured(size, around, &before, &after))
+    }
+
+    fn start_real(&self, size: &Size, around: &Surroundings) -> Result<Real, PointError> {
         let start = |(number, door): (usize, &Door)| {
             let told = configuration(size, self.conditions, number, door.address);
-            Router::start(self.program.as_deref(), folder.path(), &told, board.clone())
+            let board = around.stage.board.clone();
+            Router::start(self.program.as_deref(), around.folder.path(), &told, board)
         };
+        // Starting one waits for it; the workers and discovery that it needs run meanwhile.
         let routers = tokio::task::block_in_place(|| {
-            doors.iter().enumerate().map(start).collect::<std::result::Result<Vec<_>, _>>()
+            around.doors.iter().enumerate().map(start).collect::<Result<Vec<_>, _>>()
         })?;
         let answers = Arc::<Answers>::default();
         let ask = |(number, router): (usize, &Router)| {
             Clients::start(router.listens.clients, number, size, self.conditions.seed, answers.clone())
         };
-        let clients: Vec<Clients> = routers.iter().enumerate().map(ask).collect();
-        tokio::time::sleep(Duration::from_secs_f64(self.conditions.warmup_s)).await;
-        let began = Instant::now();
-        let before = self.sample(&routers).await?;
-        let calls: Vec<_> = doors.iter().map(Door::counts).collect();
-        let (asked, worked) = (answers.counts(), work.traffic.counts());
-        let failing: Vec<_> = self
-            .faults
-            .iter()
-            .map(|fault| tokio::spawn(faults::play(stage.clone(), fault.clone())))
-            .collect();
-        let until = began + Duration::from_secs_f64(self.conditions.seconds);
-        self.change(size, stage, board, until).await;
-        let after = self.sample(&routers).await?;
-        let seconds = began.elapsed().as_secs_f64();
-        let calls: Vec<_> = doors.iter().zip(&calls).map(|(door, before)| (door.counts(), *before)).collect();
-        let (told, worked) = (answers.counts(), work.traffic.counts().bytes - worked.bytes);
-        drop(clients);
-        for fault in failing {
-            let _ = fault.await;
-        }
-        tokio::time::sleep(LAST_CHANGES).await;
-        let figures = figures(&before, &after, &calls, seconds);
-        Ok(Result {
-            size: size.clone(),
-            seconds,
-            figures,
-            spread: board.spread(began, size.routers),
-            answers: [0, 1, 2].map(|at| told[at] - asked[at]),
-            hollow_answers: [&hollow.ends.served, &hollow.ends.others]
-                .map(|count| count.load(Ordering::Relaxed)),
-            worker_connections: work.connections.load(Ordering::Relaxed),
-            releases: work.releases.load(Ordering::Relaxed),
-            worker_bytes_per_s: worked as f64 / seconds,
-        })
-    }
-
-    async fn sample(&self, routers: &[Router]) -> std::result::Result<Vec<Sample>, MeasureError> {
-        let mut samples = Vec::new();
-        for router in routers {
-            samples.push(sample(router.id(), router.listens.operators).await?);
-        }
-        Ok(samples)
+        let clients = routers.iter().enumerate().map(ask).collect();
+        Ok(Real { routers, clients, answers })
     }
 
     async fn stage(&self, size: &Size, work: &Arc<Work>, board: &Arc<Board>) -> std::io::Result<Stage> {
@@ -219,7 +224,7 @@
     }
 
     /// Drains workers, one a change, and takes each back a while later, until the time is over.
-    async fn change(&self, size: &Size, stage: &Arc<Stage>, board: &Arc<Board>, until: Instant) {
+    async fn change(&self, size: &Size, stage: &Arc<Stage>, until: Instant) {
         let mut random = Pcg64::seed_from_u64(self.conditions.seed);
         // What a failure takes down is not drained beside it.
         let down = |place: &Place| self.faults.iter().any(|fault| place.fails_with(fault.kind));
@@ -239,7 +244,7 @@
             let entry = stage.members[at].clone();
             // What is written in silence is heard with what follows it.
             if !stage.discovery.is_down() {
-                board.written(&entry.id);
+                stage.board.written(&entry.id);
             }
             stage.discovery.change(&[Member { phase: Phase::Leaving, ..entry.clone() }]);
             let discovery = stage.discovery.clone();
@@ -264,17 +269,48 @@
     }
 }
 
-type Calls = (crate::counted::Counts, crate::counted::Counts);
+impl Real {
+    async fn count(&self, around: &Surroundings) -> Result<Counters, MeasureError> {
+        let at = Instant::now();
+        let mut samples = Vec::new();
+        for router in &self.routers {
+            samples.push(sample(router.id(), router.listens.operators).await?);
+        }
+        let calls = around.doors.iter().map(Door::counts).collect();
+        let worker_bytes = around.work.traffic.counts().bytes;
+        Ok(Counters { at, samples, calls, answers: self.answers.counts(), worker_bytes })
+    }
+}
+
+fn measured(size: &Size, around: &Surroundings, before: &Counters, after: &Counters) -> Measured {
+    let seconds = (after.at - before.at).as_secs_f64();
+    let (ends, work) = (&around.hollow.ends, &around.work);
+    Measured {
+        size: size.clone(),
+        seconds,
+        figures: figures(before, after, seconds),
+        spread: around.stage.board.spread(before.at, size.routers),
+        answers: [0, 1, 2].map(|at| after.answers[at] - before.answers[at]),
+        hollow_answers: [&ends.served, &ends.others].map(|count| count.load(Ordering::Relaxed)),
+        worker_connections: work.connections.load(Ordering::Relaxed),
+        releases: work.releases.load(Ordering::Relaxed),
+        worker_bytes_per_s: (after.worker_bytes - before.worker_bytes) as f64 / seconds,
+    }
+}
 
 /// Means over the real routers, but the most for memory and descriptors.
-fn figures(before: &[Sample], after: &[Sample], calls: &[Calls], seconds: f64) -> Figures {
-    let count = before.len().max(1) as f64;
+fn figures(before: &Counters, after: &Counters, seconds: f64) -> Figures {
+    let count = before.samples.len().max(1) as f64;
     let grown = |of: fn(&Sample) -> f64| {
-        before.iter().zip(after).map(|(before, after)| of(after) - of(before)).sum::<f64>() / count
+        let sum = |counters: &Counters| counters.samples.iter().map(of).sum::<f64>();
+        (sum(after) - sum(before)) / count
+    };
+    let most = |of: fn(&Sample) -> f64| after.samples.iter().map(of).fold(0.0, f64::max);
+    let called = |of: fn(&Counts) -> u64| {
+        let sum = |counters: &Counters| counters.calls.iter().map(of).sum::<u64>();
+        (sum(after) - sum(before)) as f64 / count / seconds
     };
-    let most = |of: fn(&Sample) -> f64| after.iter().map(of).fold(0.0, f64::max);
     let (decided, decisions) = (grown(|sample| sample.decisions.0), grown(|sample| sample.decisions.1));
-    let called = |of: fn(&Calls) -> u64| calls.iter().map(of).sum::<u64>() as f64 / count / seconds;
     Figures {
         cpu_percent: 100.0 * grown(|sample| sample.cpu_s) / seconds,
         decision_cpu_percent: 100.0 * decided / seconds,
@@ -283,7 +319,7 @@
         attempts_per_s: grown(|sample| sample.attempts) / seconds,
         peak_memory_mb: most(|sample| sample.peak_mb),
         descriptors: most(|sample| sample.descriptors as f64),
-        discovery_bytes_per_s: called(|(after, before)| after.bytes - before.bytes),
-        discovery_messages_per_s: called(|(after, before)| after.messages - before.messages),
+        discovery_bytes_per_s: called(|counts| counts.bytes),
+        discovery_messages_per_s: called(|counts| counts.messages),
     }
 }
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -2,7 +2,7 @@
 
 use crate::fit::{Line, line};
 use crate::plan::{Plan, Quantity};
-use crate::point::Result;
+use crate::point::Measured;
 use serde::Serialize;
 use std::path::Path;
 
@@ -20,7 +20,7 @@
     /// What varied; none for a run without sweeps.
     pub vary: Option<Quantity>,
     /// What was measured.
-    pub result: Result,
+    pub result: Measured,
 }
 
 /// How one figure grows with one quantity.
@@ -79,13 +79,13 @@
     }
 
     /// Writes the whole report.
-    pub fn write_json(&self, path: &Path) -> std::result::Result<(), ReportError> {
+    pub fn write_json(&self, path: &Path) -> Result<(), ReportError> {
         let text = serde_json::to_vec_pretty(self).map_err(std::io::Error::other);
         text.and_then(|text| std::fs::write(path, text)).map_err(|error| failed(path, error))
     }
 
     /// Writes a line for each figure of each point.
-    pub fn write_csv(&self, path: &Path) -> std::result::Result<(), ReportError> {
+    pub fn write_csv(&self, path: &Path) -> Result<(), ReportError> {
         let all = || -> std::io::Result<()> {
             let mut writer = csv::Writer::from_path(path)?;
             writer.write_record(["vary", "value", "servers", "routers", "figure", "measured"])?;
@@ -109,7 +109,7 @@
 }
 
 fn slopes(plan: &Plan, points: &[Point], vary: Quantity) -> Vec<Slope> {
-    let of: Vec<&Result> =
+    let of: Vec<&Measured> =
         points.iter().filter(|point| point.vary == Some(vary)).map(|point| &point.result).collect();
     let Some(first) = of.first() else { return Vec::new() };
     let figures = first.figures.named().into_iter().enumerate();
