--- a/router/tests/standins/mod.rs
+++ b/router/tests/standins/mod.rs
@@ -67,6 +67,29 @@
     format!("{:X}\r\n{text}\r\n", text.len())
 }
 
+/// A discovery whose one watch is fed by the test; it keeps the watch alive with an empty line.
+pub fn discovery(lines: std::sync::mpsc::Receiver<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let mut from = BufReader::new(stream.try_clone().unwrap());
+            let mut to = stream;
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            if message(&mut from).is_none() || to.write_all(head.as_bytes()).is_err() {
+                continue;
+            }
+            loop {
+                let line = lines.recv_timeout(Duration::from_secs(1)).unwrap_or_default();
+                if to.write_all(chunk(&format!("{line}\n")).as_bytes()).is_err() {
+                    break;
+                }
+            }
+        }
+    });
+    address
+}
+
 /// What a reader answers that has read a prompt.
 pub const READ: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 20\r\n\r\n{\"cached_tokens\":12}";
 /// What any server answers that let go of all that it held for a request.
@@ -109,6 +132,21 @@
 impl Router {
     /// Asks for one prompt; the whole answer, or what came of it.
     pub fn ask(&self, id: u64, session: u64, class: &str, tenant: &str, budget: &str, body: &str) -> String {
+        self.ask_after(Duration::ZERO, id, session, class, tenant, budget, body)
+    }
+
+    /// The same for a client whose request follows its connection by so long.
+    #[allow(clippy::too_many_arguments)]
+    pub fn ask_after(
+        &self,
+        pause: Duration,
+        id: u64,
+        session: u64,
+        class: &str,
+        tenant: &str,
+        budget: &str,
+        body: &str,
+    ) -> String {
         let head = format!(
             "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:016x}\r\nX-Call-Class: {class}\r\n\
              X-Caller: {tenant}\r\nX-Route-Hash: {session:016x}\r\nX-Budget: {budget}\r\n\
@@ -116,9 +154,11 @@
             body.len()
         );
         let mut stream = TcpStream::connect(self.clients).unwrap();
-        stream.write_all(head.as_bytes()).unwrap();
+        std::thread::sleep(pause);
         let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer);
+        if stream.write_all(head.as_bytes()).is_ok() {
+            let _ = stream.read_to_string(&mut answer);
+        }
         answer
     }
 
