End connections for accept's sake only where this process is out of descriptors

Cause: clients/listener.rs and operators.rs took any error of accept for a lack of descriptors and evicted eight (four) connections, among them ones whose request was on its way, or had begun to come (rank 2 and 3 of Shared::evict).

Change: clients/accept_error.rs tells errors of the new connection (next call at once), shortages of the machine (5 ms) and EMFILE (20 ms, and connections that rest end) apart, for both addresses. No connection is evicted whose request has begun to come or that has been without one for under 150 ms; a new one beyond the limit gets its 503 instead. Same mistake elsewhere: etcd and discovery are dialled, not accepted; inherit/ hands a socket over. Counted as router_accept_errors, logged with its kind.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: the server on which they call, and the fronts that speak to them. Parses, hands over and renders;
 //! no decision is taken here.
 
+pub mod accept_error;
 pub mod carried;
 mod conn;
 mod listener;
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -1,6 +1,7 @@
 //! The listener: accepts clients' connections, sees to it that there is room for those that ask something, and ends
 //! each of them in order.
 
+use super::accept_error::AcceptError;
 use super::conn::{Conn, Wire};
 use crate::core::Core;
 use crate::lifecycle::{Lifecycle, Phase};
@@ -16,7 +17,6 @@
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -39,7 +39,8 @@
 /// A head that has begun is whole this long after its client was sent away: 4 s after a drain no connection may carry
 /// a request from the last 2 s.
 const LAST_HEAD: Duration = Duration::from_millis(1_900);
-/// A connection that never asked anything is given up for another one only when it is older than this.
+/// A connection is given up for another one only when it has been without a request for longer than this: one may be
+/// on its way.
 const FRESH: Duration = Duration::from_millis(150);
 /// Connections that the system accepts ahead of the router, at most.
 const BACKLOG: u32 = 1_024;
@@ -47,10 +48,9 @@
 const ONE_TURN: Duration = Duration::from_millis(5);
 /// Connections beyond the limit that are told so, rather than just closed.
 const MOST_TURNED_AWAY: usize = 16;
-/// When the system has no descriptor left, so many connections end, and accepting waits for them: it neither spins
+/// When this process has no descriptor left, so many connections end, and accepting waits for them: it neither spins
 /// nor stops.
 const EVICTED_AT_ONCE: usize = 8;
-const NO_DESCRIPTORS: Duration = Duration::from_millis(20);
 
 const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 const LARGE: &[u8] =
@@ -76,6 +76,7 @@
     accepting: Rc<Cell<usize>>,
     most: usize,
     turned_away: Cell<usize>,
+    accept_errors: Cell<u64>,
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
 }
@@ -100,6 +101,7 @@
             accepting: Rc::default(),
             most,
             turned_away: Cell::new(0),
+            accept_errors: Cell::new(0),
             bodies: Rc::default(),
             most_bodies,
         })
@@ -126,9 +128,18 @@
         Entered { shared: self.clone(), number }
     }
 
-    /// Ends so many connections without a request under way, as far as there are any.
-    pub fn evict_some(&self, most: usize) {
-        let _ = (0..most).all(|_| self.evict());
+    /// Notes that `accept` failed; where this process has no descriptor left, so many connections that rest end.
+    pub fn accept_failed(&self, peer: &str, kind: AcceptError, error: &std::io::Error, most: usize) {
+        log!("accept failed peer={peer} kind={} error=\"{error}\"", kind.name());
+        self.accept_errors.set(self.accept_errors.get() + 1);
+        if kind == AcceptError::Exhausted {
+            let _ = (0..most).all(|_| self.evict());
+        }
+    }
+
+    /// Calls of `accept` that have failed.
+    pub fn accept_errors(&self) -> u64 {
+        self.accept_errors.get()
     }
 
     /// Client connections that are open.
@@ -147,26 +158,20 @@
     }
 
     /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
-    /// start, else longest without a request. False if all have requests under way.
+    /// start, else longest without a request. False if none can go.
     fn make_room(&self) -> bool {
         self.open() < self.most || self.evict()
     }
 
-    /// Ends one connection without a request under way. False if there is none.
+    /// Ends one connection that rests. False if there is none: one whose request has begun to come, or may be on its
+    /// way, is owed an answer.
     fn evict(&self) -> bool {
         let conns = self.conns.borrow();
-        let rank = |conn: &&Rc<Conn>| {
-            let fresh = conn.since.get().elapsed() < FRESH;
-            let rank = match (conn.requests.get(), fresh) {
-                // A request has begun to come.
-                _ if conn.begun() => 3,
-                (0, false) => 0,
-                (0, true) => 2,
-                _ => 1,
-            };
-            (rank, conn.since.get())
+        let rests = |conn: &&Rc<Conn>| {
+            conn.idle() && !conn.begun() && !conn.leaving.get() && conn.since.get().elapsed() >= FRESH
         };
-        let least = conns.values().filter(|conn| conn.idle() && !conn.leaving.get()).min_by_key(rank);
+        let least =
+            conns.values().filter(rests).min_by_key(|conn| (conn.requests.get() > 0, conn.since.get()));
         let Some(least) = least else { return false };
         least.leaving.set(true);
         least.evict.notify_one();
@@ -346,12 +351,12 @@
                     );
                 });
             }
-            // The client was gone before it was accepted.
-            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
             Err(error) => {
-                log!("accept failed error=\"{error}\"");
-                shared.evict_some(EVICTED_AT_ONCE);
-                actix_rt::time::sleep(NO_DESCRIPTORS).await;
+                let kind = AcceptError::of(&error);
+                shared.accept_failed("client", kind, &error, EVICTED_AT_ONCE);
+                if let Some(wait) = kind.wait() {
+                    actix_rt::time::sleep(wait).await;
+                }
             }
         }
     }
@@ -412,9 +417,8 @@
                 (true, false) => {
                     ending = Some(Ending { code: "evicted", since: now, requests: conn.requests.get() });
                 }
-                (true, true) => break "evicted",
                 // Its next request came in that moment: it stays.
-                (false, _) => conn.leaving.set(false),
+                _ => conn.leaving.set(false),
             },
             _ = life.changed() => {}
             () = conn.free.notified() => {
--- a/router/src/operators.rs
+++ b/router/src/operators.rs
@@ -5,6 +5,7 @@
 mod figures;
 
 use crate::clients::Shared;
+use crate::clients::accept_error::AcceptError;
 // Callers at once; their descriptors are kept back. One more ends the one that has said nothing longest.
 use crate::config::MOST_CALLERS;
 use crate::lifecycle::Event;
@@ -26,9 +27,8 @@
 /// No head is longer, and none has more fields.
 const LARGEST_HEAD: usize = 8 * 1024;
 const MOST_FIELDS: usize = 64;
-/// When the system has no descriptor left, so many clients' connections without a request end for the callers.
+/// When this process has no descriptor left, so many clients' connections without a request end for the callers.
 const EVICTED_AT_ONCE: usize = 4;
-const NO_DESCRIPTORS: Duration = Duration::from_millis(20);
 
 /// An answer to a call.
 struct Answer {
@@ -168,11 +168,12 @@
     loop {
         let (mut stream, peer) = match listener.accept().await {
             Ok(accepted) => accepted,
-            Err(error) if error.kind() == io::ErrorKind::ConnectionAborted => continue,
             Err(error) => {
-                log!("accept failed peer=operator error=\"{error}\"");
-                shared.evict_some(EVICTED_AT_ONCE);
-                tokio::time::sleep(NO_DESCRIPTORS).await;
+                let kind = AcceptError::of(&error);
+                shared.accept_failed("operator", kind, &error, EVICTED_AT_ONCE);
+                if let Some(wait) = kind.wait() {
+                    tokio::time::sleep(wait).await;
+                }
                 continue;
             }
         };
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -64,6 +64,11 @@
     page.counter("holds_late", "Requests for which something was held past the rule's time.", late);
     page.gauge("targets", "Workers in the list.", targets);
     page.gauge("targets_disabled", "Listed workers that get nothing now.", disabled);
+    page.counter(
+        "accept_errors",
+        "Calls of accept that failed, of clients and operators.",
+        shared.accept_errors(),
+    );
     page.counter("reload_success", "Configurations taken over on SIGHUP.", reloads);
     page.counter("reload_failure", "Configurations turned down on SIGHUP.", failed);
     if let Some(usage) = core.usage() {
