Put servers' starts on the router's monotonic clock, whatever wall clocks say

Cause: Core::now is Unix time at the router's start plus the monotonic clock, and up_since_ms was compared with it. With the wall clock an hour back a server that starts has a stamp an hour old and counts as warm; an hour ahead it stays at the bottom until its stamp has passed; a restart under a known id whose stamp is older was none (entry.up_since <= old).

The list's news say when the list was last known to be up to date.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod popular;
 pub mod quota;
 pub mod reach;
+pub mod start_times;
 pub mod told;
 
 pub use best::best;
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -8,6 +8,7 @@
 use crate::names;
 use crate::usage::{self, Usage};
 use fawnstream_attempts::{Attempts, Repeat};
+use fawnstream_fleet::start_times::{Clocks, StartTimes};
 use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
@@ -210,6 +211,8 @@
     releases: RefCell<HashMap<u64, Vec<(ServerId, Alarm)>>>,
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
+    /// When servers started, whatever the wall clock says.
+    start_times: RefCell<StartTimes>,
     servers: RefCell<Option<Rc<dyn Servers>>>,
     /// Who goes on with a client's connection that was given up.
     bare: RefCell<Option<Bare>>,
@@ -258,6 +261,7 @@
             releases: RefCell::default(),
             labels: RefCell::default(),
             list: RefCell::default(),
+            start_times: RefCell::default(),
             servers: RefCell::default(),
             bare: RefCell::default(),
             on_news: RefCell::default(),
@@ -335,8 +339,8 @@
         &self.names
     }
 
-    /// The module's clock: Unix time at the start, and monotonic from there, so that it can be compared with
-    /// the list's start times and never goes back.
+    /// The module's clock: Unix time at the start, and monotonic from there. It never goes back; the list's start times
+    /// are put on it by [`StartTimes`].
     pub fn now(&self) -> Time {
         Time(self.unix + self.born.elapsed().as_nanos() as u64)
     }
@@ -420,12 +424,13 @@
                 for (id, server) in list.iter().filter(|(id, _)| !named.contains(id)) {
                     tell(server, now);
                     gone.push((*id, server.clone()));
+                    self.start_times.borrow_mut().dropped(id.0, self.hold_time());
                 }
                 list.retain(|id, _| named.contains(id));
                 dropped = gone.len();
             }
             for entry in &update.entries {
-                let Some(member) = self.member(entry) else { continue };
+                let Some(member) = self.member(entry, update.current) else { continue };
                 let role = self.roles[member.kind.0];
                 let same = |known: &&Rc<Server>| known.address == entry.address && known.role == role;
                 let known = list.get(&member.server).filter(same);
@@ -457,10 +462,12 @@
                 // Guards against a list that grows with each server that ever was.
                 if member.state == ServerState::Left {
                     list.remove(&member.server);
+                    self.start_times.borrow_mut().dropped(member.server.0, self.hold_time());
                 }
                 members.push(member);
             }
         }
+        self.start_times.borrow_mut().sweep(self.hold_time());
         if let Some(servers) = self.servers.borrow().as_ref() {
             gone.iter().for_each(|(_, server)| servers.retire(server));
         }
@@ -489,20 +496,37 @@
         }
     }
 
-    fn member(&self, entry: &Entry) -> Option<Member> {
+    /// When a server started, on the module's clock; none for long ago.
+    fn start_of(&self, entry: &Entry, current: Option<Instant>) -> Option<Time> {
+        if entry.up_since_ms == 0 {
+            return None;
+        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clocks = Clocks { monotonic: self.hold_time(), wall };
+        let current = current.map(|at| self.monotonic(at));
+        let stamp = Duration::from_millis(entry.up_since_ms);
+        let start = self.start_times.borrow_mut().listed(server_id(&entry.id).0, stamp, clocks, current);
+        Some(Time(start.as_nanos() as u64))
+    }
+
+    /// The module's clock at an instant.
+    fn monotonic(&self, at: Instant) -> Duration {
+        Duration::from_nanos(self.unix) + at.saturating_duration_since(self.born)
+    }
+
+    fn member(&self, entry: &Entry, current: Option<Instant>) -> Option<Member> {
         let Some(kind) = self.names.kinds.iter().position(|kind| *kind == entry.kind) else {
             log!("list dropped server={:?} reason=unknown-kind", entry.id);
             return None;
         };
         let zone = self.names.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(usize::MAX);
-        let up_since = Some(entry.up_since_ms).filter(|ms| *ms > 0);
         Some(Member {
             server: server_id(&entry.id),
             state: entry.state,
             kind: KindId(kind),
             zone: ZoneId(zone),
             cell: CellId(entry.cell),
-            up_since: up_since.map(|ms| Time(ms.saturating_mul(1_000_000))),
+            up_since: self.start_of(entry, current),
         })
     }
 
--- a/router/src/list.rs
+++ b/router/src/list.rs
@@ -41,6 +41,8 @@
     pub complete: bool,
     /// The list, or its changes.
     pub entries: Vec<Entry>,
+    /// When the list was last known to be up to date before this; none for the first news.
+    pub current: Option<Instant>,
 }
 
 /// Discovery's form of the list.
@@ -75,9 +77,13 @@
 }
 
 impl Wire {
-    /// The news in it.
-    pub fn update(self) -> Update {
-        Update { complete: self.complete, entries: self.members.into_iter().filter_map(entry).collect() }
+    /// The news in it; `current` is when the list was last known to be up to date before.
+    pub fn update(self, current: Option<Instant>) -> Update {
+        Update {
+            complete: self.complete,
+            entries: self.members.into_iter().filter_map(entry).collect(),
+            current,
+        }
     }
 }
 
--- a/router/src/list/discovery.rs
+++ b/router/src/list/discovery.rs
@@ -11,12 +11,13 @@
 /// known: a new address goes on from there, so that no news is lost between two. `calls` says when to call.
 pub async fn follow(
     mut told: watch::Receiver<SocketAddr>,
-    mut from: u64,
+    from: u64,
     mut calls: Calls,
     manner: Manner,
     mut hear: impl FnMut(Update),
 ) {
     let mut wait = manner.wait(calls.first());
+    let mut known = Known { from, current: None };
     loop {
         tokio::select! {
             () = actix_rt::time::sleep(wait) => {}
@@ -26,10 +27,10 @@
         let called = Instant::now();
         let mut stood = false;
         let reason = tokio::select! {
-            reason = follow_one(address, manner, &mut from, &mut stood, &mut hear) => reason,
+            reason = follow_one(address, manner, &mut known, &mut stood, &mut hear) => reason,
             () = moved(&mut told) => "moved",
         };
-        log!("connection peer=discovery address={address} code={reason} revision={from}");
+        log!("connection peer=discovery address={address} code={reason} revision={}", known.from);
         let told = match reason {
             "moved" => {
                 calls.moved();
@@ -46,16 +47,24 @@
     }
 }
 
+/// What is known of the list.
+struct Known {
+    /// Its version.
+    from: u64,
+    /// When it was last known to be up to date; none before the first news.
+    current: Option<Instant>,
+}
+
 /// `stood` tells whether anything came, an empty line at least.
 async fn follow_one(
     address: SocketAddr,
     manner: Manner,
-    from: &mut u64,
+    known: &mut Known,
     stood: &mut bool,
     hear: &mut impl FnMut(Update),
 ) -> &'static str {
     let client = watcher(manner.connect());
-    let uri = format!("http://{address}/v1/servers?watch=1&from={from}");
+    let uri = format!("http://{address}/v1/servers?watch=1&from={}", known.from);
     let asked = actix_rt::time::timeout(manner.head(), client.get(uri).send()).await;
     let mut answer = match asked {
         Ok(Ok(answer)) if answer.status() == awc::http::StatusCode::OK => answer,
@@ -70,9 +79,13 @@
         let mut read = Ok(());
         indented.line(line, |text| {
             if read.is_ok() {
-                read = take(text, from, hear);
+                read = take(text, known, hear);
             }
         });
+        // An empty line says that nothing has changed.
+        if line.trim_ascii().is_empty() && known.current.is_some() {
+            known.current = Some(Instant::now());
+        }
         read
     })
     .await
@@ -80,11 +93,11 @@
 
 /// One piece of news. Garbage changes nothing; what it was to tell is asked for anew, after the version that is known.
 /// Guards against news behind it that hides that something was missed.
-fn take(line: &[u8], from: &mut u64, hear: &mut impl FnMut(Update)) -> Result<(), &'static str> {
+fn take(line: &[u8], known: &mut Known, hear: &mut impl FnMut(Update)) -> Result<(), &'static str> {
     match serde_json::from_slice::<Wire>(line) {
         Ok(wire) => {
-            *from = wire.revision;
-            hear(wire.update());
+            known.from = wire.revision;
+            hear(wire.update(known.current.replace(Instant::now())));
             Ok(())
         }
         Err(error) => {
--- a/router/src/list/etcd.rs
+++ b/router/src/list/etcd.rs
@@ -12,7 +12,7 @@
 use serde_json::{Value, json};
 use shedrelay::ServerState;
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
 const FIRST_WAIT: Duration = Duration::from_millis(100);
@@ -75,6 +75,7 @@
         told: told.borrow_and_update().clone(),
         from: 0,
         known: BTreeMap::new(),
+        current: None,
     };
     let mut source = fresh(&mut told);
     let mut wait = FIRST_WAIT;
@@ -108,6 +109,8 @@
     /// The last revision seen; 0 when the whole list must be asked for.
     from: u64,
     known: BTreeMap<String, Entry>,
+    /// When the list was last known to be up to date; none before the first news.
+    current: Option<Instant>,
 }
 
 impl Source {
@@ -143,7 +146,8 @@
             self.from = revision;
             self.known.clear();
             range.kvs.into_iter().for_each(|kv| drop(self.put(kv)));
-            hear(Update { complete: true, entries: self.known.values().cloned().collect() });
+            let current = self.current.replace(Instant::now());
+            hear(Update { complete: true, entries: self.known.values().cloned().collect(), current });
         }
         let uri = format!("http://{}/v3/watch", self.told.endpoint);
         let start = (self.from + 1).to_string();
@@ -157,7 +161,11 @@
         let mut begun = false;
         let line = |line: &[u8]| {
             begun = true;
-            if line.trim_ascii().is_empty() { Ok(()) } else { self.line(line, hear) }
+            if !line.trim_ascii().is_empty() {
+                return self.line(line, hear);
+            }
+            self.current = self.current.map(|_| Instant::now());
+            Ok(())
         };
         match read_lines(&mut answer, SILENCE, line).await {
             "silent" if begun => QUIET,
@@ -190,7 +198,8 @@
         }
         if !entries.is_empty() {
             self.from = revision;
-            hear(Update { complete: false, entries });
+            let current = self.current.replace(Instant::now());
+            hear(Update { complete: false, entries, current });
         }
         Ok(())
     }
--- a/router/src/program.rs
+++ b/router/src/program.rs
@@ -132,7 +132,7 @@
         config.websocket.map(|told| live::Live::new(core.clone(), told, config.seed, config.live_bytes));
     let from = config.known.as_ref().map_or(0, |known| known.revision);
     if let Some(known) = config.known {
-        core.listed(known.update());
+        core.listed(known.update(None));
     }
     let listed = core.clone();
     let hear = move |update| listed.listed(update);
