Let the ledger go on when its disk does, with what was taken on kept in order

Cause: usage.rs set stopped at the first failed append or sync and wrote nothing until a restart; Log::append left a half record where a write failed, and after a failed sync nobody wrote again what the system may have dropped.

Change: Log keeps each record in memory until it is on the disk. A failed write is cut off behind the last whole record, a failed sync goes back to what is certain and writes the rest again, and a segment that cannot begin is tried again. The export's progress is a Log too: it waits for its disk in place of ending.

Left: a process that is killed while its disk fails loses what waits; so does one that ends, after 1 s more.

--- a/ledger/src/store.rs
+++ b/ledger/src/store.rs
@@ -6,6 +6,7 @@
 
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::collections::VecDeque;
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, BufReader, Read, Write};
 use std::marker::PhantomData;
@@ -291,14 +292,26 @@
     Ok(segment.at)
 }
 
-/// Records that are being written.
+/// Records that are being written. Each is kept in memory until it is on the disk: a write or a sync that fails is made
+/// up for by the next [`Log::sync`], behind the last whole record and in the same order.
 pub struct Log<T> {
     folder: PathBuf,
     kind: &'static str,
     owner: String,
     segment: u64,
     file: File,
+    /// Whole records end here in the file, and up to there they are on the disk.
     size: u64,
+    synced: u64,
+    /// Framed records that are not on the disk, and how many of them are in the file.
+    unsynced: VecDeque<Vec<u8>>,
+    written: usize,
+    /// The last call failed: appending does not try again by itself.
+    failing: bool,
+    /// What stands behind `synced` is not known.
+    uncertain: bool,
+    /// The folder has the file's name on the disk.
+    named: bool,
     largest: u64,
     path: PathBuf,
     _lock: File,
@@ -339,8 +352,24 @@
         }
         let size = file.metadata().map_err(io(&path))?.len();
         let (folder, owner) = (folder.to_owned(), owner.to_owned());
-        let mut log =
-            Log { folder, kind, owner, segment, file, size, largest, path, _lock: held, _of: PhantomData };
+        let mut log = Log {
+            folder,
+            kind,
+            owner,
+            segment,
+            file,
+            size,
+            synced: size,
+            unsynced: VecDeque::new(),
+            written: 0,
+            failing: false,
+            uncertain: false,
+            named: false,
+            largest,
+            path,
+            _lock: held,
+            _of: PhantomData,
+        };
         if log.size == 0 {
             log.head()?;
         }
@@ -348,55 +377,114 @@
         Ok((log, torn))
     }
 
-    fn failed(&self, error: io::Error) -> StoreError {
-        StoreError::Io { path: self.path.clone(), error }
+    /// Records that are not on the disk yet.
+    pub fn unsynced(&self) -> usize {
+        self.unsynced.len()
     }
 
-    fn put(&mut self, text: &[u8]) -> Result<(), StoreError> {
-        let frame = framed(text);
-        self.file.write_all(&frame).map_err(|error| self.failed(error))?;
-        self.size += frame.len() as u64;
+    /// Takes records on. They are on the disk after a [`Log::sync`] that succeeds, and stay in memory until then; in the
+    /// file they are at once where that can be done, so that they outlive the process.
+    pub fn append(&mut self, records: &[T]) -> Result<(), StoreError> {
+        for record in records {
+            let text = serde_json::to_vec(record).map_err(|error| self.failed(error.into()))?;
+            if text.len() > LONGEST as usize {
+                return Err(self.failed(io::ErrorKind::InvalidInput.into()));
+            }
+            self.unsynced.push_back(framed(&text));
+        }
+        if !self.failing {
+            // What fails is tried again by the next sync, which tells.
+            self.failing = self.write_out().is_err();
+        }
         Ok(())
     }
 
-    fn head(&mut self) -> Result<(), StoreError> {
-        let (fawnstream, owner) = (self.kind.to_owned(), self.owner.clone());
-        let head = Head { fawnstream, form: FORM, owner, segment: self.segment };
-        let text = serde_json::to_vec(&head).map_err(|error| self.failed(error.into()))?;
-        self.put(&text)
+    /// Puts all that was appended on the disk. After an error a part of it is there, and the rest is kept for the next
+    /// call.
+    pub fn sync(&mut self) -> Result<(), StoreError> {
+        let wrote = self.write_out();
+        let done = if self.uncertain { wrote } else { self.sync_written().and(wrote) };
+        self.failing = done.is_err();
+        done
     }
 
-    /// Appends records. They are on the disk after [`Log::sync`].
-    pub fn append(&mut self, records: &[T]) -> Result<(), StoreError> {
-        for record in records {
+    fn failed(&self, error: io::Error) -> StoreError {
+        StoreError::Io { path: self.path.clone(), error }
+    }
+
+    /// Writes what is not in the file yet.
+    fn write_out(&mut self) -> Result<(), StoreError> {
+        if self.uncertain {
+            self.rewind()?;
+        }
+        while self.written < self.unsynced.len() {
             if self.size >= self.largest {
-                self.roll()?;
+                self.sync_written()?;
+                self.next_segment()?;
             }
-            let text = serde_json::to_vec(record).map_err(|error| self.failed(error.into()))?;
-            if text.len() > LONGEST as usize {
-                return Err(self.failed(io::ErrorKind::InvalidInput.into()));
+            if self.size == 0 {
+                self.head()?;
             }
-            self.put(&text)?;
+            let Some(frame) = self.unsynced.get(self.written).cloned() else { break };
+            self.put(&frame)?;
+            self.written += 1;
+        }
+        Ok(())
+    }
+
+    /// Goes back to what is on the disk for certain: after a sync that failed the system may have dropped the rest.
+    fn rewind(&mut self) -> Result<(), StoreError> {
+        self.file.set_len(self.synced).map_err(|error| self.failed(error))?;
+        (self.size, self.written, self.uncertain) = (self.synced, 0, false);
+        Ok(())
+    }
+
+    /// Writes one frame behind the last whole one; a part of it never stays.
+    fn put(&mut self, frame: &[u8]) -> Result<(), StoreError> {
+        if let Err(error) = self.file.write_all(frame) {
+            self.uncertain = self.file.set_len(self.size).is_err();
+            return Err(self.failed(error));
         }
+        self.size += frame.len() as u64;
         Ok(())
     }
 
+    /// The first record of a segment.
+    fn head(&mut self) -> Result<(), StoreError> {
+        let (fawnstream, owner) = (self.kind.to_owned(), self.owner.clone());
+        let head = Head { fawnstream, form: FORM, owner, segment: self.segment };
+        let text = serde_json::to_vec(&head).map_err(|error| self.failed(error.into()))?;
+        self.put(&framed(&text))
+    }
+
     /// Begins the next segment; the one before it is whole on the disk by then.
-    fn roll(&mut self) -> Result<(), StoreError> {
-        self.sync()?;
+    fn next_segment(&mut self) -> Result<(), StoreError> {
         let path = segment_path(&self.folder, self.kind, self.segment + 1);
-        let opened = OpenOptions::new().create_new(true).append(true).open(&path);
-        self.file = opened.map_err(|error| StoreError::Io { path: path.clone(), error })?;
-        (self.segment, self.size, self.path) = (self.segment + 1, 0, path);
-        self.head()
+        let failed = |error| StoreError::Io { path: path.clone(), error };
+        let file = OpenOptions::new().create(true).append(true).open(&path).map_err(failed)?;
+        // A try before this one may have left a part of its head.
+        file.set_len(0).map_err(failed)?;
+        (self.file, self.path) = (file, path);
+        (self.segment, self.size, self.synced, self.named) = (self.segment + 1, 0, 0, false);
+        Ok(())
     }
 
-    /// All that was appended is on the disk.
-    pub fn sync(&mut self) -> Result<(), StoreError> {
-        self.file.sync_data().map_err(|error| self.failed(error))?;
-        // The file's name is the folder's.
-        let folder = File::open(&self.folder).and_then(|folder| folder.sync_all());
-        folder.map_err(|error| self.failed(error))
+    /// Puts on the disk what is in the file.
+    fn sync_written(&mut self) -> Result<(), StoreError> {
+        if let Err(error) = self.file.sync_data() {
+            self.uncertain = true;
+            return Err(self.failed(error));
+        }
+        if !self.named {
+            // The file's name is the folder's.
+            let folder = File::open(&self.folder).and_then(|folder| folder.sync_all());
+            folder.map_err(|error| self.failed(error))?;
+            self.named = true;
+        }
+        self.synced = self.size;
+        self.unsynced.drain(..self.written);
+        self.written = 0;
+        Ok(())
     }
 }
 
--- a/ledger/tests/ledger.rs
+++ b/ledger/tests/ledger.rs
@@ -224,6 +224,27 @@
     assert!(matches!(read(folder.path()), Err(StoreError::Foreign { .. })));
 }
 
+/// Where the next segment cannot begin, records wait, and go on in order once it can.
+#[test]
+fn a_segment_that_cannot_begin_is_waited_for() {
+    let folder = tempfile::tempdir().unwrap();
+    let all = some(20);
+    let (mut log, _) = Log::<Record>::open(folder.path(), "usage", "r", 700, |_| {}).unwrap();
+    let in_its_way = folder.path().join("usage-00000002.log");
+    std::fs::create_dir(&in_its_way).unwrap();
+    log.append(&all[..15]).unwrap();
+    assert!(log.sync().is_err());
+    let waiting = log.unsynced();
+    assert!((1..15).contains(&waiting), "{waiting} wait: the first segment has the others");
+    assert!(log.sync().is_err(), "it still cannot");
+    log.append(&all[15..]).unwrap();
+    assert_eq!(log.unsynced(), waiting + all.len() - 15);
+    std::fs::remove_dir(&in_its_way).unwrap();
+    log.sync().unwrap();
+    assert_eq!(log.unsynced(), 0);
+    assert_eq!(read(folder.path()).unwrap(), (all, false));
+}
+
 #[test]
 fn one_process_writes_and_a_ledger_has_one_owner() {
     let folder = tempfile::tempdir().unwrap();
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -78,7 +78,9 @@
         page.counter("ledger_entries", "Entries of use on the disk.", count(&state.entries));
         page.counter("ledger_exported", "Entries of use that the sink has.", count(&state.exported));
         page.counter("ledger_lost", "Requests that the ledger lacks.", count(&state.lost));
-        page.gauge("ledger_stopped", "1 if the ledger's disk failed.", stopped);
+        let waiting = count(&state.waiting) as usize;
+        page.gauge("ledger_waiting", "Entries of use that wait for the disk.", waiting);
+        page.gauge("ledger_stopped", "1 while the ledger's disk fails.", stopped);
     }
     if let Some(live) = &shared.live {
         let (now, figures) = live.figures();
--- a/router/src/usage/export.rs
+++ b/router/src/usage/export.rs
@@ -8,6 +8,7 @@
 use fawnstream_ledger::entry::{Entry, Record};
 use fawnstream_ledger::store::{Log, Reader, StoreError};
 use serde::Serialize;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -20,6 +21,8 @@
 /// Waits after a failure: doubling, half to all of it by chance.
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 const LONGEST_WAIT: Duration = Duration::from_secs(30);
+/// A disk that failed is tried again after this.
+const DISK_WAIT: Duration = Duration::from_millis(200);
 /// Steps are few bytes: one file holds the progress of years.
 const SEGMENT: u64 = 64 * 1024 * 1024;
 
@@ -32,6 +35,7 @@
 
 /// See the module's page.
 pub struct Export {
+    folder: PathBuf,
     sink: Sink,
     router: String,
     state: Arc<State>,
@@ -53,7 +57,8 @@
         let ledger = Reader::open(&told.folder, KIND)?;
         tracing::info!(has = progress.has, pending = progress.pending.is_some(), "ledger export");
         let (router, held) = (router.to_owned(), Vec::new());
-        Ok(Export { sink, router, state, progress, steps, ledger, held, wait: FIRST_WAIT, tries: 0 })
+        let folder = told.folder.clone();
+        Ok(Export { folder, sink, router, state, progress, steps, ledger, held, wait: FIRST_WAIT, tries: 0 })
     }
 
     /// Sends what the disk has, up to the entry that is told, for as long as it can. It may end at any point: what it
@@ -65,6 +70,11 @@
                 Ok(true) => {}
                 Ok(false) if on_disk.changed().await.is_ok() => {}
                 Ok(false) => return,
+                Err(error @ StoreError::Io { .. }) => {
+                    tracing::warn!(reason = %error, "ledger export waits for its disk");
+                    self.reread(Reader::open(&self.folder, KIND));
+                    tokio::time::sleep(DISK_WAIT).await;
+                }
                 Err(error) => return tracing::error!(reason = %error, "ledger export stopped"),
             }
         }
@@ -93,9 +103,19 @@
         Ok(true)
     }
 
-    /// On the disk before anything depends on it.
+    /// Reads the ledger from its beginning again: a read that failed may have stopped inside a record.
+    fn reread(&mut self, ledger: Result<Reader<Record>, StoreError>) {
+        if let Ok(ledger) = ledger {
+            self.ledger = ledger;
+            self.held.clear();
+        }
+    }
+
+    /// On the disk before anything depends on it. One that was kept from the disk before is the same one.
     fn step(&mut self, step: Step) -> Result<(), StoreError> {
-        self.steps.append(&[step])?;
+        if self.steps.unsynced() == 0 {
+            self.steps.append(&[step])?;
+        }
         self.steps.sync()?;
         self.progress.step(step);
         Ok(())
