Give a full house's silent connections up for a new one again, but never one that has begun

What accept's errors ask for stays strict; where a new connection would find no place at all the silent go first, as before, and never one whose request has begun to come.

--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -39,8 +39,8 @@
 /// A head that has begun is whole this long after its client was sent away: 4 s after a drain no connection may carry
 /// a request from the last 2 s.
 const LAST_HEAD: Duration = Duration::from_millis(1_900);
-/// A connection is given up for another one only when it has been without a request for longer than this: one may be
-/// on its way.
+/// A request may be on its way on a connection that has been without one for less than this: it is given up only where
+/// else a new one would find no place.
 const FRESH: Duration = Duration::from_millis(150);
 /// Connections that the system accepts ahead of the router, at most.
 const BACKLOG: u32 = 1_024;
@@ -133,7 +133,7 @@
         log!("accept failed peer={peer} kind={} error=\"{error}\"", kind.name());
         self.accept_errors.set(self.accept_errors.get() + 1);
         if kind == AcceptError::Exhausted {
-            let _ = (0..most).all(|_| self.evict());
+            let _ = (0..most).all(|_| self.evict(Least::Settled));
         }
     }
 
@@ -160,25 +160,41 @@
     /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
     /// start, else longest without a request. False if none can go.
     fn make_room(&self) -> bool {
-        self.open() < self.most || self.evict()
+        self.open() < self.most || self.evict(Least::Any)
     }
 
-    /// Ends one connection that rests. False if there is none: one whose request has begun to come, or may be on its
-    /// way, is owed an answer.
-    fn evict(&self) -> bool {
+    /// Ends one connection without a request. False if there is none: one whose request has begun to come is owed an
+    /// answer.
+    fn evict(&self, least: Least) -> bool {
         let conns = self.conns.borrow();
-        let rests = |conn: &&Rc<Conn>| {
-            conn.idle() && !conn.begun() && !conn.leaving.get() && conn.since.get().elapsed() >= FRESH
+        let fresh = |conn: &Rc<Conn>| conn.since.get().elapsed() < FRESH;
+        let may_go = |conn: &&Rc<Conn>| {
+            conn.idle() && !conn.begun() && !conn.leaving.get() && (least == Least::Any || !fresh(conn))
         };
-        let least =
-            conns.values().filter(rests).min_by_key(|conn| (conn.requests.get() > 0, conn.since.get()));
-        let Some(least) = least else { return false };
+        let rank = |conn: &&Rc<Conn>| {
+            let rank = match (conn.requests.get(), fresh(conn)) {
+                (0, false) => 0,
+                (0, true) => 2,
+                _ => 1,
+            };
+            (rank, conn.since.get())
+        };
+        let Some(least) = conns.values().filter(may_go).min_by_key(rank) else { return false };
         least.leaving.set(true);
         least.evict.notify_one();
         true
     }
 }
 
+/// Which connections may be given up for others.
+#[derive(Clone, Copy, PartialEq)]
+enum Least {
+    /// Those that have been without a request for a moment: another one may be on its way.
+    Settled,
+    /// Any without a request, those without a request for longest first: the new one would find no place at all.
+    Any,
+}
+
 /// A socket on which clients are accepted, counted until the guard goes.
 struct Accepting(Rc<Cell<usize>>);
 
