Tell an attempt's server the time that is left once its connection is up

Cause: servers.rs run() reckoned X-Budget before awc dialled; a connection that came up 2 s late was told 8.984 s where 6.967 s were left. The window and the drain's grace were asked again at the first byte, the deadline was not. Change: a lane's connection is dialled first (link.rs Dialler), then the head is made. The same for releases: they tell no deadline; upgrades of long-lived connections neither.

--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -22,10 +22,11 @@
 use events::{Garbage, Tail, report};
 use fawnstream_holds::{Called, Terms};
 use futures_core::Stream;
-use link::{Begin, Lane, NotBegun, Pool, Raw};
+use link::{Begin, Dialler, Lane, NotBegun, Pool, Raw, Watched};
 use serde::Deserialize;
 use shedrelay::{Attempt, ClassId, Evidence, RequestId, Role, Verdict};
 use std::future::poll_fn;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -337,19 +338,14 @@
         return Some(Ended::unsent(verdict, reason));
     }
     let body = lane.watch(begin, call.body.clone());
-    let left = order.deadline.saturating_duration_since(Instant::now());
-    let asked = lane
-        .client
-        .post(format!("http://{}{}", order.server.address, call.target))
-        .insert_header((CONTENT_TYPE, "application/json"))
-        .insert_header(("X-Call-Id", call.label.as_str()))
-        .insert_header(("X-Budget", format!("{:.3}", left.as_secs_f64())));
-    let key = call.idempotency_key.as_ref().and_then(|key| HeaderValue::from_bytes(key).ok());
-    let asked = match key {
-        Some(key) => asked.insert_header((IDEMPOTENCY_KEY, key)),
-        None => asked,
-    };
-    let asked = asked.send_body(body);
+    let asked = ask(
+        lane.dialler(),
+        lane.client.clone(),
+        order.exchange.clone(),
+        order.server.address,
+        order.deadline,
+        body,
+    );
     let until = order.until;
     let cut = |lane: &Lane, verdict, reason| {
         lane.closing(reason);
@@ -455,6 +451,32 @@
     })
 }
 
+/// Sends a request once its connection is up, and waits for its answer's head: the server is told the time that is left
+/// by then.
+async fn ask(
+    dialler: Dialler,
+    client: awc::Client,
+    exchange: Rc<Exchange>,
+    address: SocketAddr,
+    deadline: Instant,
+    body: Watched,
+) -> Result<ClientResponse, SendRequestError> {
+    dialler.dial().await?;
+    let call = &exchange.call;
+    let left = deadline.saturating_duration_since(Instant::now());
+    let asked = client
+        .post(format!("http://{address}{}", call.target))
+        .insert_header((CONTENT_TYPE, "application/json"))
+        .insert_header(("X-Call-Id", call.label.as_str()))
+        .insert_header(("X-Budget", format!("{:.3}", left.as_secs_f64())));
+    let key = call.idempotency_key.as_ref().and_then(|key| HeaderValue::from_bytes(key).ok());
+    let asked = match key {
+        Some(key) => asked.insert_header((IDEMPOTENCY_KEY, key)),
+        None => asked,
+    };
+    asked.send_body(body).await
+}
+
 /// A head that cannot be read: a writer's would have begun the answer, while what a reader read may wait there.
 fn spoilt_at(server: &Server) -> Verdict {
     if server.role == Role::Reader { Verdict::Error } else { Verdict::Spoilt }
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -10,6 +10,7 @@
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::error::SendRequestError;
 use awc::http::Uri;
 use bytes::Bytes;
 use shedrelay_settings::Links;
@@ -299,6 +300,8 @@
     address: SocketAddr,
     meter: Rc<Meter>,
     open: Rc<Cell<usize>>,
+    /// A connection that is up before it is asked for.
+    ready: Rc<RefCell<Option<TcpStream>>>,
 }
 
 impl Service<ConnectInfo<Uri>> for Dial {
@@ -309,9 +312,13 @@
     actix_service::always_ready!();
 
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
-        let Dial { address, meter, open } = self.clone();
+        let Dial { address, meter, open, ready } = self.clone();
         Box::pin(async move {
-            let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
+            let ready = ready.take();
+            let stream = match ready {
+                Some(stream) => stream,
+                None => TcpStream::connect(address).await.map_err(ConnectError::Io)?,
+            };
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             open.set(open.get() + 1);
             meter.ended.set(false);
@@ -323,17 +330,47 @@
     }
 }
 
+/// Opens a lane's connection ahead of its first request, so that the request can tell what time is left once it is up.
+pub struct Dialler {
+    address: SocketAddr,
+    /// Where the connection is put; none where it is up already.
+    ready: Option<Rc<RefCell<Option<TcpStream>>>>,
+    connect: Duration,
+}
+
+impl Dialler {
+    /// Returns when the connection is up.
+    pub async fn dial(self) -> Result<(), SendRequestError> {
+        let Some(ready) = self.ready else { return Ok(()) };
+        let dialled = actix_rt::time::timeout(self.connect, TcpStream::connect(self.address)).await;
+        let stream = dialled
+            .map_err(|_| SendRequestError::Connect(awc::error::ConnectError::Timeout))?
+            .map_err(|error| SendRequestError::Connect(awc::error::ConnectError::Io(error)))?;
+        *ready.borrow_mut() = Some(stream);
+        Ok(())
+    }
+}
+
 /// A client with one connection, for one request at a time.
 pub struct Lane {
     /// The client.
     pub client: awc::Client,
     address: SocketAddr,
     meter: Rc<Meter>,
+    /// Where a connection waits that was dialled ahead of its request, and how long one may take to come up.
+    ready: Rc<RefCell<Option<TcpStream>>>,
+    connect: Duration,
     idle_since: Instant,
     used: bool,
 }
 
 impl Lane {
+    /// Who opens the connection ahead of its first request.
+    pub fn dialler(&self) -> Dialler {
+        let ready = (!self.used).then(|| self.ready.clone());
+        Dialler { address: self.address, ready, connect: self.connect }
+    }
+
     /// Prepares for a request that counts as an attempt.
     pub fn watch(&self, begin: Begin, body: Bytes) -> Watched {
         self.unwatched();
@@ -555,11 +592,13 @@
         }
         let meter = Rc::new(Meter { dispatches: self.dispatches.clone(), ..Meter::default() });
         let address = server.address;
-        let dial = Dial { address, meter: meter.clone(), open: self.open.clone() };
+        let ready = Rc::<RefCell<Option<TcpStream>>>::default();
+        let dial = Dial { address, meter: meter.clone(), open: self.open.clone(), ready: ready.clone() };
+        let connect = Duration::from_nanos(self.links.connect.0);
         let connector = awc::Connector::new()
             .connector(dial)
             .limit(1)
-            .timeout(Duration::from_nanos(self.links.connect.0))
+            .timeout(connect)
             .conn_keep_alive(longest_idle(self.links))
             .conn_lifetime(Duration::from_secs(24 * 3_600))
             .disconnect_timeout(Duration::from_millis(1));
@@ -569,7 +608,7 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        Some(Lane { client, address, meter, idle_since: Instant::now(), used: false })
+        Some(Lane { client, address, meter, ready, connect, idle_since: Instant::now(), used: false })
     }
 
     /// How long after the news that a server drains an attempt may begin there.
