--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,26 @@
+//! A randomized fault soak: real router processes among stand-in servers, discovery and clients, troubles that overlap as
+//! a plan says, and checks that know nothing of the router's code. `docs/testing.md` has its commands.
+//!
+//! | module | what |
+//! | --- | --- |
+//! | [`plan`] | what happens when, drawn from a seed and kept in a file |
+//! | [`story`] | what clients and servers saw, request by request |
+//! | [`worker`], [`agent`], [`client`] | the stand-ins |
+//! | [`router`] | router processes: starts, signals, faults of their system calls |
+//! | [`world`] | one play of a plan |
+//! | [`oracle`] | the rules, each a named check |
+//! | [`shrink`] | the fewest troubles that still fail |
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod agent;
+pub mod client;
+pub mod http;
+pub mod oracle;
+pub mod plan;
+pub mod router;
+pub mod shrink;
+pub mod story;
+pub mod terms;
+pub mod worker;
+pub mod world;
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,203 @@
+//! `fawnstream-soak`: plays seeds or plans, prints each broken rule with its request's story, and shrinks what fails.
+
+use clap::Parser;
+use fawnstream_soak::oracle::{Violation, judge};
+use fawnstream_soak::plan::{Plan, PlanError};
+use fawnstream_soak::shrink::shrink;
+use fawnstream_soak::story::Happened;
+use fawnstream_soak::world::{WorldError, play};
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::sync::Semaphore;
+use tokio::task::JoinSet;
+
+/// Stories printed for each failing play, at most.
+const MOST_STORIES: usize = 3;
+/// Plays that a shrinking may take.
+const MOST_SHRINKING: usize = 24;
+
+/// Plays real routers under overlapping faults and judges what clients and servers saw
+#[derive(Debug, Parser)]
+#[command(name = "fawnstream-soak", version)]
+struct Arguments {
+    /// The first seed
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How many seeds, one after the other
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
+    /// Plays this plan in place of a seed's
+    #[arg(long, value_name = "FILE")]
+    plan: Option<PathBuf>,
+    /// Begins no further play after this time
+    #[arg(long, value_name = "MINUTES")]
+    minutes: Option<f64>,
+    /// Plays one seed alone and keeps the routers' logs, whatever comes of it
+    #[arg(long, value_name = "SEED", conflicts_with_all = ["plan", "seeds"])]
+    replay: Option<u64>,
+    /// Plays at once
+    #[arg(long, default_value_t = 4)]
+    jobs: usize,
+    /// The router's program
+    #[arg(long, value_name = "FILE", default_value = "target/release/fawnstream")]
+    program: PathBuf,
+    /// Where failing plans, stories and logs go
+    #[arg(long, value_name = "FOLDER", default_value = "target/soak")]
+    out: PathBuf,
+    /// Leaves failing plans as they are
+    #[arg(long)]
+    no_shrink: bool,
+}
+
+#[derive(Debug, thiserror::Error)]
+enum SoakError {
+    #[error("plan: {0}")]
+    Plan(#[from] PlanError),
+    #[error("{0}")]
+    World(#[from] WorldError),
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+}
+
+/// What came of one play.
+struct Played {
+    plan: Plan,
+    violations: Vec<Violation>,
+    requests: usize,
+    outcomes: BTreeMap<String, usize>,
+    lateness: Duration,
+}
+
+async fn one(plan: Plan, arguments: &Arguments, keep: bool) -> Result<Played, SoakError> {
+    std::fs::create_dir_all(&arguments.out)?;
+    let folder =
+        tempfile::Builder::new().prefix(&format!("seed-{}-", plan.seed)).tempdir_in(&arguments.out)?;
+    let seen = play(&plan, &arguments.program, folder.path()).await?;
+    let violations = judge(&seen, &plan);
+    if keep || !violations.is_empty() {
+        let kept = folder.keep();
+        plan.write(&kept.join("plan.toml"))?;
+        std::fs::write(kept.join("violations.txt"), told(&violations, usize::MAX))?;
+        println!("seed {}: kept {}", plan.seed, kept.display());
+    }
+    let mut outcomes = BTreeMap::new();
+    for (_, happened) in seen.requests.values().flatten() {
+        if let Happened::Ended(outcome) = happened {
+            *outcomes.entry(format!("{outcome:?}")).or_default() += 1;
+        }
+    }
+    Ok(Played { plan, violations, requests: seen.requests.len(), outcomes, lateness: seen.lateness })
+}
+
+fn told(violations: &[Violation], most: usize) -> String {
+    let mut text = String::new();
+    for violation in violations.iter().take(most) {
+        text += &format!("  {}: {}\n", violation.check, violation.what);
+        for line in &violation.story {
+            text += &format!("      {line}\n");
+        }
+    }
+    text
+}
+
+/// The checks that were broken, and how often.
+fn counts(violations: &[Violation]) -> BTreeMap<&'static str, usize> {
+    let mut counts = BTreeMap::new();
+    violations.iter().for_each(|violation| *counts.entry(violation.check).or_default() += 1);
+    counts
+}
+
+async fn shrunk(played: &Played, arguments: &Arguments) -> Result<PathBuf, SoakError> {
+    let wanted = counts(&played.violations);
+    let fails = |plan: Plan| {
+        let wanted = &wanted;
+        async move {
+            let again = one(plan, arguments, false).await;
+            again.is_ok_and(|again| counts(&again.violations).keys().any(|check| wanted.contains_key(check)))
+        }
+    };
+    let fewest = shrink(played.plan.clone(), MOST_SHRINKING, fails).await;
+    let path = arguments.out.join(format!("shrunk-{}.toml", played.plan.seed));
+    fewest.write(&path)?;
+    println!(
+        "seed {}: {} troubles of {} still fail: {}",
+        fewest.seed,
+        fewest.troubles.len(),
+        played.plan.troubles.len(),
+        path.display()
+    );
+    Ok(path)
+}
+
+fn plans(arguments: &Arguments) -> Result<Vec<Plan>, SoakError> {
+    if let Some(path) = &arguments.plan {
+        return Ok(vec![Plan::read(path)?]);
+    }
+    let (first, count) = arguments.replay.map_or((arguments.seed, arguments.seeds), |seed| (seed, 1));
+    Ok((first..first.saturating_add(count)).map(Plan::draw).collect())
+}
+
+async fn soak(arguments: Arguments) -> Result<bool, SoakError> {
+    let arguments = Arc::new(arguments);
+    let until = arguments.minutes.map(|minutes| Instant::now() + Duration::from_secs_f64(minutes * 60.0));
+    let room = Arc::new(Semaphore::new(arguments.jobs.max(1)));
+    let mut plays = JoinSet::new();
+    for plan in plans(&arguments)? {
+        let (arguments, room) = (arguments.clone(), room.clone());
+        plays.spawn(async move {
+            let Ok(_permit) = room.acquire_owned().await else { return Ok(None) };
+            if until.is_some_and(|until| Instant::now() > until) {
+                return Ok(None);
+            }
+            let keep = arguments.replay.is_some();
+            one(plan, &arguments, keep).await.map(Some)
+        });
+    }
+    let (mut done, mut requests, mut lateness, mut failed) = (0, 0, Duration::ZERO, Vec::new());
+    let mut all = BTreeMap::new();
+    let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
+    while let Some(played) = plays.join_next().await {
+        let Ok(played) = played else { continue };
+        let Some(played) = played? else { continue };
+        (done, requests, lateness) = (done + 1, requests + played.requests, lateness.max(played.lateness));
+        for (outcome, count) in &played.outcomes {
+            *outcomes.entry(outcome.clone()).or_default() += count;
+        }
+        if !played.violations.is_empty() {
+            println!("seed {}: {:?}", played.plan.seed, counts(&played.violations));
+            print!("{}", told(&played.violations, MOST_STORIES));
+            counts(&played.violations).into_iter().for_each(|(check, n)| *all.entry(check).or_default() += n);
+            failed.push(played);
+        }
+    }
+    for played in failed.iter().take(if arguments.no_shrink { 0 } else { 1 }) {
+        shrunk(played, &arguments).await?;
+    }
+    let all: BTreeMap<&str, usize> = all;
+    println!(
+        "{done} plays, {requests} requests, the harness late by {} ms at most, {} failed {all:?}",
+        lateness.as_millis(),
+        failed.len()
+    );
+    Ok(failed.is_empty())
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    if !Path::new(&arguments.program).exists() {
+        eprintln!("fawnstream-soak: no program at {}", arguments.program.display());
+        return ExitCode::FAILURE;
+    }
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    match runtime.map_err(SoakError::from).and_then(|runtime| runtime.block_on(soak(arguments))) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("fawnstream-soak: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,341 @@
+//! A plan: what happens when. It is drawn from a seed, and a file of it can be read, edited and played again.
+
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use serde::{Deserialize, Serialize};
+use std::path::Path;
+
+/// Troubles begin in this part of the time under load; what is left is for their end.
+const TROUBLE_PART: f64 = 0.7;
+/// One plan in so many begins its troubles after a long quiet time.
+const LONG_QUIET_EVERY: u64 = 8;
+const LONG_QUIET_MS: u64 = 15_000;
+const SHORT_QUIET_MS: u64 = 800;
+
+/// One play.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Plan {
+    /// Where chance comes from: requests, and what is not told here.
+    pub seed: u64,
+    /// Router processes.
+    pub routers: usize,
+    /// Servers that read.
+    pub readers: usize,
+    /// Servers that write.
+    pub writers: usize,
+    /// Requests a second, all clients together.
+    pub requests_per_s: f64,
+    /// Nothing goes wrong for so long at first.
+    pub quiet_ms: u64,
+    /// Clients ask for so long after that.
+    pub load_ms: u64,
+    /// What goes wrong.
+    #[serde(default)]
+    pub troubles: Vec<Trouble>,
+}
+
+/// One trouble.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Trouble {
+    /// When it begins, after the quiet time.
+    pub at_ms: u64,
+    /// How long it lasts.
+    pub for_ms: u64,
+    /// What it is.
+    #[serde(flatten)]
+    pub what: What,
+}
+
+/// A system call that fails at a router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SystemCall {
+    /// See `fawnstream_faults::Call`.
+    Accept,
+    /// The same.
+    Connect,
+    /// The same.
+    Socket,
+    /// The same.
+    Wait,
+    /// The same.
+    Short,
+    /// The same.
+    Exhausted,
+}
+
+/// What goes wrong. Routers and servers go by their numbers.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "what", rename_all = "snake_case")]
+pub enum What {
+    /// SIGTERM, then SIGKILL if it has not ended in time, and a new process.
+    RouterStops {
+        /// Which.
+        router: usize,
+    },
+    /// SIGKILL, and a new process.
+    RouterKilled {
+        /// Which.
+        router: usize,
+    },
+    /// SIGHUP.
+    RouterReloads {
+        /// Which.
+        router: usize,
+    },
+    /// SIGSTOP, and SIGCONT at the end.
+    RouterFrozen {
+        /// Which.
+        router: usize,
+    },
+    /// Requests are taken and never answered.
+    WorkerHangs {
+        /// Which.
+        worker: usize,
+    },
+    /// Nothing passes in either direction; at the end all its connections are reset.
+    WorkerSilent {
+        /// Which.
+        worker: usize,
+    },
+    /// All its connections are reset, once.
+    WorkerResets {
+        /// Which.
+        worker: usize,
+    },
+    /// Its process dies, and a new one starts cold at the end.
+    WorkerCrashes {
+        /// Which.
+        worker: usize,
+    },
+    /// It is told as leaving, and as active again at the end.
+    WorkerDrains {
+        /// Which.
+        worker: usize,
+    },
+    /// It turns requests away.
+    WorkerRejects {
+        /// Which.
+        worker: usize,
+    },
+    /// Its answers break in the middle: garbage, or half a chunk and a reset.
+    WorkerSpoils {
+        /// Which.
+        worker: usize,
+    },
+    /// It takes ten times as long.
+    WorkerSlow {
+        /// Which.
+        worker: usize,
+    },
+    /// It closes idle connections at once.
+    WorkerForgets {
+        /// Which.
+        worker: usize,
+    },
+    /// Agents say nothing, and learn nothing.
+    DiscoverySilent,
+    /// All watches are reset, once.
+    DiscoveryResets,
+    /// System calls of one router fail.
+    SystemCalls {
+        /// Which.
+        router: usize,
+        /// Which call.
+        call: SystemCall,
+        /// So many of a thousand.
+        per_mille: u32,
+    },
+    /// Writes and syncs of one router's ledger fail.
+    DiskFails {
+        /// Which.
+        router: usize,
+    },
+    /// One router's wall clock is stepped; it stays so until the end.
+    WallClock {
+        /// Which.
+        router: usize,
+        /// By so much.
+        step_ms: i64,
+    },
+    /// Most clients leave before their answer has ended.
+    ClientsLeave,
+    /// Clients send half a request and stay.
+    ClientsHalf,
+    /// Twice as many requests.
+    Burst,
+}
+
+/// A plan's file cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum PlanError {
+    /// It cannot be read or written.
+    #[error("{0}")]
+    Io(#[from] std::io::Error),
+    /// It makes no sense.
+    #[error("{0}")]
+    Toml(String),
+    /// A number is out of its range.
+    #[error("{0}")]
+    Range(&'static str),
+}
+
+impl Plan {
+    /// The plan of a seed.
+    pub fn draw(seed: u64) -> Self {
+        let mut chance = Pcg64::seed_from_u64(seed);
+        let routers = match chance.random_range(0..10) {
+            0 => chance.random_range(25..=40),
+            1..=3 => chance.random_range(14..=24),
+            _ => chance.random_range(10..=13),
+        };
+        let (readers, writers) = (chance.random_range(3..=6), chance.random_range(3..=6));
+        let quiet_ms = if seed.is_multiple_of(LONG_QUIET_EVERY) { LONG_QUIET_MS } else { SHORT_QUIET_MS };
+        let load_ms = chance.random_range(6_000..9_000);
+        let mut plan = Plan {
+            seed,
+            routers,
+            readers,
+            writers,
+            requests_per_s: chance.random_range(40.0..90.0),
+            quiet_ms,
+            load_ms,
+            troubles: Vec::new(),
+        };
+        let count = chance.random_range(3..=9);
+        // Most begin within a second of each other, so that they overlap.
+        let knot = chance.random_range(0.1..TROUBLE_PART) * load_ms as f64;
+        for _ in 0..count {
+            let spread: f64 = if chance.random_range(0..4) == 0 {
+                chance.random_range(-3e3..3e3)
+            } else {
+                chance.random_range(-600.0..600.0)
+            };
+            let at_ms = (knot + spread).clamp(0.0, load_ms as f64 * TROUBLE_PART) as u64;
+            let for_ms = chance.random_range(200..3_000);
+            let trouble = plan.draw_trouble(&mut chance, at_ms, for_ms);
+            plan.troubles.push(trouble);
+        }
+        plan.troubles.sort_by_key(|trouble| trouble.at_ms);
+        plan
+    }
+
+    fn draw_trouble(&self, chance: &mut Pcg64, at_ms: u64, for_ms: u64) -> Trouble {
+        let router = chance.random_range(0..self.routers);
+        let worker = chance.random_range(0..self.readers + self.writers);
+        let mut for_ms = for_ms;
+        let what = match chance.random_range(0..26) {
+            0..=3 => What::RouterStops { router },
+            4 => What::RouterKilled { router },
+            5 => What::RouterReloads { router },
+            6 => {
+                for_ms =
+                    if chance.random_range(0..3) == 0 { for_ms / 2 } else { chance.random_range(20..=150) };
+                What::RouterFrozen { router }
+            }
+            7 | 8 => What::WorkerHangs { worker },
+            9 => What::WorkerSilent { worker },
+            10 => What::WorkerResets { worker },
+            11 | 12 => What::WorkerCrashes { worker },
+            13 | 14 => What::WorkerDrains { worker },
+            15 => What::WorkerRejects { worker },
+            16 => What::WorkerSpoils { worker },
+            17 => What::WorkerSlow { worker },
+            18 => What::WorkerForgets { worker },
+            19 => What::DiscoverySilent,
+            20 => What::DiscoveryResets,
+            21 | 22 => {
+                let calls = [
+                    SystemCall::Accept,
+                    SystemCall::Connect,
+                    SystemCall::Socket,
+                    SystemCall::Wait,
+                    SystemCall::Short,
+                    SystemCall::Exhausted,
+                ];
+                let call = calls[chance.random_range(0..calls.len())];
+                What::SystemCalls { router, call, per_mille: chance.random_range(50..400) }
+            }
+            23 => match chance.random_range(0..2) {
+                0 => What::DiskFails { router },
+                _ => {
+                    let steps = [-3_600_000, -5_000, 5_000, 3_600_000];
+                    What::WallClock { router, step_ms: steps[chance.random_range(0..steps.len())] }
+                }
+            },
+            24 => match chance.random_range(0..2) {
+                0 => What::ClientsLeave,
+                _ => What::ClientsHalf,
+            },
+            _ => What::Burst,
+        };
+        Trouble { at_ms, for_ms, what }
+    }
+
+    /// Reads a file.
+    pub fn read(path: &Path) -> Result<Self, PlanError> {
+        let text = std::fs::read_to_string(path)?;
+        let plan: Plan =
+            toml::from_str(&text).map_err(|error| PlanError::Toml(error.message().to_owned()))?;
+        plan.check()
+    }
+
+    fn check(self) -> Result<Self, PlanError> {
+        if !(1..=100).contains(&self.routers) {
+            return Err(PlanError::Range("routers: 1 to 100"));
+        }
+        if self.readers == 0 || self.writers == 0 || self.readers + self.writers > 100 {
+            return Err(PlanError::Range("readers and writers: 1 or more of each, 100 at most"));
+        }
+        if !(self.requests_per_s > 0.0 && self.requests_per_s <= 10_000.0) {
+            return Err(PlanError::Range("requests_per_s: above 0, 10,000 at most"));
+        }
+        let workers = self.readers + self.writers;
+        let known = |trouble: &Trouble| {
+            trouble.what.router().is_none_or(|router| router < self.routers)
+                && trouble.what.worker().is_none_or(|worker| worker < workers)
+        };
+        if !self.troubles.iter().all(known) {
+            return Err(PlanError::Range("a trouble names a router or a worker that there is not"));
+        }
+        Ok(self)
+    }
+
+    /// Writes a file.
+    pub fn write(&self, path: &Path) -> Result<(), PlanError> {
+        let text = toml::to_string(self).map_err(|error| PlanError::Toml(error.to_string()))?;
+        Ok(std::fs::write(path, text)?)
+    }
+}
+
+impl What {
+    /// The router that it is about.
+    pub fn router(&self) -> Option<usize> {
+        match *self {
+            What::RouterStops { router }
+            | What::RouterKilled { router }
+            | What::RouterReloads { router }
+            | What::RouterFrozen { router }
+            | What::SystemCalls { router, .. }
+            | What::DiskFails { router }
+            | What::WallClock { router, .. } => Some(router),
+            _ => None,
+        }
+    }
+
+    /// The server that it is about.
+    pub fn worker(&self) -> Option<usize> {
+        match *self {
+            What::WorkerHangs { worker }
+            | What::WorkerSilent { worker }
+            | What::WorkerResets { worker }
+            | What::WorkerCrashes { worker }
+            | What::WorkerDrains { worker }
+            | What::WorkerRejects { worker }
+            | What::WorkerSpoils { worker }
+            | What::WorkerSlow { worker }
+            | What::WorkerForgets { worker } => Some(worker),
+            _ => None,
+        }
+    }
+}
--- /dev/null
+++ b/soak/src/worker.rs
@@ -0,0 +1,415 @@
+//! Stand-in servers: readers hold what they read until it is fetched or released, writers stream. Each can be in trouble.
+//! Faults act between the socket and the stand-in, so that what is noted is what the router's machine sent or saw.
+
+use crate::http::{Inbox, Request, chunk};
+use crate::story::{Book, Happened, Ran};
+use rand::{RngExt as _, SeedableRng as _};
+use rand_pcg::Pcg64;
+use socket2::SockRef;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+/// Tokens that each request's answer is said to have, beside its events.
+const PROMPT_TOKENS: u64 = 512;
+/// A slow server takes so many times as long.
+const SLOW: u32 = 10;
+
+/// What a server does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Reads prompts.
+    Reads,
+    /// Writes answers.
+    Writes,
+}
+
+/// What is wrong with a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Nothing.
+    Well,
+    /// It takes requests and answers none.
+    Hangs,
+    /// Nothing passes.
+    Silent,
+    /// It turns requests away.
+    Rejects,
+    /// Its answers are garbage in the middle.
+    Spoils,
+    /// Its answers stop within a chunk, and the connection is reset.
+    Halves,
+    /// It takes long.
+    Slow,
+    /// It closes connections as soon as they rest.
+    Forgets,
+    /// Its process is dead.
+    Dead,
+}
+
+/// States that readers hold, by request: which reader, since when.
+pub type Holds = Arc<Mutex<HashMap<u64, (usize, Instant)>>>;
+
+/// One server.
+pub struct Worker {
+    /// Its number.
+    pub number: usize,
+    /// What it does.
+    pub role: Role,
+    /// Where it listens.
+    pub address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    /// Counts resets of all connections.
+    resets: watch::Sender<u64>,
+    /// Unix time of its start in milliseconds; 0 for long ago.
+    up_since_ms: AtomicU64,
+    /// Wakes who listens, when its process starts or ends.
+    book: Arc<Book>,
+    holds: Holds,
+    attempts: Arc<AtomicU64>,
+    /// Written tokens by request, of whole answers.
+    written: Mutex<HashMap<u64, u64>>,
+    seed: u64,
+}
+
+fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
+    of.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(1_024)
+}
+
+/// Ends a connection with a reset.
+fn reset(reads: OwnedReadHalf, writes: OwnedWriteHalf) {
+    if let Ok(stream) = reads.reunite(writes) {
+        let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+    }
+}
+
+impl Worker {
+    /// A server that listens.
+    pub fn start(
+        number: usize,
+        role: Role,
+        seed: u64,
+        book: Arc<Book>,
+        holds: Holds,
+        attempts: Arc<AtomicU64>,
+    ) -> std::io::Result<Arc<Self>> {
+        let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let address = listener.local_addr()?;
+        let worker = Arc::new(Worker {
+            number,
+            role,
+            address,
+            mode: watch::Sender::new(Mode::Well),
+            resets: watch::Sender::new(0),
+            up_since_ms: AtomicU64::new(0),
+            book,
+            holds,
+            attempts,
+            written: Mutex::default(),
+            seed,
+        });
+        tokio::spawn(worker.clone().live(listener));
+        Ok(worker)
+    }
+
+    /// Its name in the list.
+    pub fn label(&self) -> String {
+        format!("{}{}", if self.role == Role::Reads { "r" } else { "w" }, self.number)
+    }
+
+    /// Unix time of its start in milliseconds; 0 for long ago.
+    pub fn up_since_ms(&self) -> u64 {
+        self.up_since_ms.load(Ordering::Relaxed)
+    }
+
+    /// What it wrote of each request that it answered whole.
+    pub fn written(&self) -> HashMap<u64, u64> {
+        locked(&self.written).clone()
+    }
+
+    /// Puts it into trouble, or out of it.
+    pub fn set(&self, mode: Mode) {
+        if mode == Mode::Dead {
+            self.lose_holds();
+        }
+        let before = self.mode.send_replace(mode);
+        if before == Mode::Dead && mode != Mode::Dead {
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            self.up_since_ms.store(now.as_millis() as u64, Ordering::Relaxed);
+            let number = self.number;
+            self.book.with(|seen| seen.starts.entry(number).or_default().push(Instant::now()));
+        }
+        if before == Mode::Silent {
+            self.reset();
+        }
+    }
+
+    /// Resets all its connections.
+    pub fn reset(&self) {
+        self.resets.send_modify(|count| *count += 1);
+    }
+
+    fn lose_holds(&self) {
+        let lost: Vec<u64> = {
+            let mut holds = locked(&self.holds);
+            let lost = holds.iter().filter(|(_, (at, _))| *at == self.number).map(|(id, _)| *id).collect();
+            holds.retain(|_, (at, _)| *at != self.number);
+            lost
+        };
+        lost.into_iter().for_each(|id| self.book.note(id, Happened::LetGo(self.number)));
+    }
+
+    /// Listens while its process lives.
+    async fn live(self: Arc<Self>, mut listener: TcpListener) {
+        let (mut dies, mut lives) = (self.mode.subscribe(), self.mode.subscribe());
+        loop {
+            tokio::select! {
+                accepted = listener.accept() => {
+                    if let Ok((stream, _)) = accepted {
+                        tokio::spawn(self.clone().serve(stream));
+                    }
+                    continue;
+                }
+                _ = dies.wait_for(|mode| *mode == Mode::Dead) => drop(listener),
+            }
+            if lives.wait_for(|mode| *mode != Mode::Dead).await.is_err() {
+                return;
+            }
+            listener = loop {
+                match bind(self.address) {
+                    Ok(listener) => break listener,
+                    Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                }
+            };
+        }
+    }
+
+    /// Returns when its connections are to be reset.
+    async fn broken(&self) {
+        let (mut resets, mut mode) = (self.resets.subscribe(), self.mode.subscribe());
+        tokio::select! {
+            _ = resets.changed() => {}
+            _ = mode.wait_for(|mode| *mode == Mode::Dead) => {}
+        }
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let (mut reads, mut writes) = stream.into_split();
+        let mut inbox = Inbox::default();
+        let ended = tokio::select! {
+            biased;
+            () = self.broken() => false,
+            () = self.requests(&mut reads, &mut writes, &mut inbox) => true,
+        };
+        if !ended {
+            reset(reads, writes);
+        }
+    }
+
+    async fn requests(&self, reads: &mut OwnedReadHalf, writes: &mut OwnedWriteHalf, inbox: &mut Inbox) {
+        loop {
+            if *self.mode.borrow() == Mode::Forgets && inbox.is_empty() {
+                return;
+            }
+            let mut mode = self.mode.subscribe();
+            let request = tokio::select! {
+                request = inbox.request(reads) => request,
+                _ = mode.wait_for(|mode| *mode == Mode::Forgets) => continue,
+            };
+            let Some(request) = request else { return };
+            if !self.one(request, reads, writes, inbox).await {
+                return;
+            }
+        }
+    }
+
+    /// Waits while nothing passes.
+    async fn passes(&self) {
+        let _ = self.mode.subscribe().wait_for(|mode| *mode != Mode::Silent).await;
+    }
+
+    /// One request; false if its connection has ended, or is to end.
+    async fn one(
+        &self,
+        request: Request,
+        reads: &mut OwnedReadHalf,
+        writes: &mut OwnedWriteHalf,
+        inbox: &mut Inbox,
+    ) -> bool {
+        let Some(id) = request.id else {
+            let _ = writes.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").await;
+            return true;
+        };
+        if request.method == "DELETE" {
+            self.passes().await;
+            self.release(id);
+            return writes.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.is_ok();
+        }
+        let attempt = Attempt::begin(self, id, &request);
+        let gone = async {
+            // One request at a time: whatever comes now is the end of the connection.
+            while inbox.more(reads).await {}
+        };
+        tokio::select! {
+            biased;
+            () = gone => false,
+            on = self.answer(&attempt, id, writes) => on,
+        }
+    }
+
+    fn release(&self, id: u64) {
+        let mut holds = locked(&self.holds);
+        if holds.get(&id).is_some_and(|(at, _)| *at == self.number) {
+            holds.remove(&id);
+            drop(holds);
+            self.book.note(id, Happened::LetGo(self.number));
+        }
+    }
+
+    /// Answers; false if the connection is to end.
+    async fn answer(&self, attempt: &Attempt<'_>, id: u64, writes: &mut OwnedWriteHalf) -> bool {
+        const TURNED_AWAY: &[u8] =
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+        const NO_STATE: &[u8] = b"HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ id ^ attempt.number << 32);
+        let mode = *self.mode.borrow();
+        let slow = if mode == Mode::Slow { SLOW } else { 1 };
+        self.passes().await;
+        match (mode, self.role) {
+            (Mode::Hangs, _) => std::future::pending().await,
+            (Mode::Rejects, _) => {
+                attempt.over(Ran::No);
+                writes.write_all(TURNED_AWAY).await.is_ok()
+            }
+            (_, Role::Reads) => {
+                tokio::time::sleep(Duration::from_millis(chance.random_range(3..25)) * slow).await;
+                self.passes().await;
+                self.read(attempt, id, writes).await
+            }
+            (_, Role::Writes) => {
+                let held = locked(&self.holds).remove(&id);
+                let Some((reader, _)) = held else {
+                    attempt.over(Ran::No);
+                    return writes.write_all(NO_STATE).await.is_ok();
+                };
+                self.book.note(id, Happened::LetGo(reader));
+                attempt.runs();
+                self.stream(attempt, id, &mut chance, mode, writes).await
+            }
+        }
+    }
+
+    async fn read(&self, attempt: &Attempt<'_>, id: u64, writes: &mut OwnedWriteHalf) -> bool {
+        let text = "{\"cached_tokens\":12}";
+        let answer = match *self.mode.borrow() {
+            Mode::Spoils => "HTTP/1.1 202 Accepted\r\nContent-Length: x\r\n\r\n".to_owned(),
+            _ => format!("HTTP/1.1 202 Accepted\r\nContent-Length: {}\r\n\r\n{text}", text.len()),
+        };
+        locked(&self.holds).insert(id, (self.number, Instant::now()));
+        self.book.note(id, Happened::Held(self.number));
+        attempt.over(Ran::Yes);
+        writes.write_all(answer.as_bytes()).await.is_ok()
+    }
+
+    async fn stream(
+        &self,
+        attempt: &Attempt<'_>,
+        id: u64,
+        chance: &mut Pcg64,
+        mode: Mode,
+        writes: &mut OwnedWriteHalf,
+    ) -> bool {
+        let events = chance.random_range(2..14u32);
+        let breaks = chance.random_range(0..events);
+        let slow = if mode == Mode::Slow { SLOW } else { 1 };
+        tokio::time::sleep(Duration::from_millis(chance.random_range(3..30)) * slow).await;
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let mut text = head.to_owned();
+        for event in 0..events {
+            if event == breaks && matches!(mode, Mode::Spoils | Mode::Halves) {
+                let part = if mode == Mode::Spoils { "zz\r\n no chunk\r\n" } else { "40\r\ndata: {" };
+                let _ = writes.write_all(part.as_bytes()).await;
+                tokio::time::sleep(Duration::from_millis(30)).await;
+                if mode == Mode::Halves {
+                    return false;
+                }
+                return std::future::pending().await;
+            }
+            let content = format!("\"delta\":{{\"content\":\"n{event}\"}},\"finish_reason\":null");
+            text += &chunk(&format!("data: {{\"choices\":[{{\"index\":0,{content}}}]}}\n\n"));
+            self.passes().await;
+            self.book.note(id, Happened::Wrote(event));
+            if writes.write_all(text.as_bytes()).await.is_err() {
+                return false;
+            }
+            text.clear();
+            tokio::time::sleep(Duration::from_millis(chance.random_range(5..40)) * slow).await;
+        }
+        let tokens = u64::from(events) * 5;
+        let stop =
+            "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"\"},\"finish_reason\":\"stop\"}]}\n\n";
+        let usage = format!(
+            "data: {{\"choices\":[],\"usage\":{{\"prompt_tokens\":{PROMPT_TOKENS},\"completion_tokens\":{tokens},\
+             \"prompt_tokens_details\":{{\"cached_tokens\":12}}}}}}\n\n"
+        );
+        let tail = format!("{}{}{}0\r\n\r\n", chunk(stop), chunk(&usage), chunk("data: [DONE]\n\n"));
+        self.passes().await;
+        locked(&self.written).insert(id, tokens);
+        attempt.over(Ran::Yes);
+        writes.write_all(tail.as_bytes()).await.is_ok()
+    }
+}
+
+/// One attempt at a server, over at the latest when this goes.
+struct Attempt<'a> {
+    worker: &'a Worker,
+    id: u64,
+    number: u64,
+    /// Whether it may have taken effect by now.
+    ran: AtomicBool,
+    over: AtomicBool,
+}
+
+impl<'a> Attempt<'a> {
+    fn begin(worker: &'a Worker, id: u64, request: &Request) -> Self {
+        let number = worker.attempts.fetch_add(1, Ordering::Relaxed);
+        let budget = request.budget.and_then(|secs| Duration::try_from_secs_f64(secs).ok());
+        worker.book.note_at(id, request.first, Happened::First { attempt: number, worker: worker.number });
+        let whole = Happened::Whole { attempt: number, worker: worker.number, budget };
+        worker.book.note_at(id, request.last, whole);
+        let reads = worker.role == Role::Reads;
+        Attempt { worker, id, number, ran: AtomicBool::new(!reads), over: AtomicBool::new(false) }
+    }
+
+    fn runs(&self) {
+        self.ran.store(true, Ordering::Relaxed);
+    }
+
+    fn over(&self, ran: Ran) {
+        if !self.over.swap(true, Ordering::Relaxed) {
+            let (attempt, worker) = (self.number, self.worker.number);
+            self.worker.book.note(self.id, Happened::Over { attempt, worker, ran });
+        }
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        let ran = self.ran.load(Ordering::Relaxed);
+        self.over(if ran { Ran::Yes } else { Ran::No });
+    }
+}
