--- /dev/null
+++ b/router/tests/soak.rs
@@ -0,0 +1,35 @@
+//! A short fixed set of the fault soak's plans against the built program; `docs/testing.md` has the long run.
+
+use fawnstream_soak::oracle::judge;
+use fawnstream_soak::plan::Plan;
+use fawnstream_soak::world::play;
+use std::path::Path;
+
+/// Seeds whose troubles cover stops, kills, crashes, drains, silences, system calls and disks that fail.
+const SEEDS: [u64; 4] = [3, 5, 13, 70];
+/// So many play at once.
+const AT_ONCE: usize = 2;
+
+async fn violations(seed: u64) -> Vec<String> {
+    let plan = Plan { quiet_ms: 500, ..Plan::draw(seed) };
+    let folder = tempfile::tempdir().unwrap();
+    let program = Path::new(env!("CARGO_BIN_EXE_fawnstream"));
+    let seen = play(&plan, program, folder.path()).await.unwrap();
+    assert!(seen.requests.len() > 100, "seed {seed}: {} requests", seen.requests.len());
+    let violations = judge(&seen, &plan);
+    violations
+        .iter()
+        .map(|v| format!("seed {seed}: {}: {}\n{}", v.check, v.what, v.story.join("\n")))
+        .collect()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fixed_seeds_break_no_rule() {
+    for seeds in SEEDS.chunks(AT_ONCE) {
+        let plays: Vec<_> = seeds.iter().map(|seed| tokio::spawn(violations(*seed))).collect();
+        for play in plays {
+            let violations = play.await.unwrap();
+            assert!(violations.is_empty(), "{}", violations.join("\n"));
+        }
+    }
+}
--- /dev/null
+++ b/soak/tests/plan.rs
@@ -0,0 +1,59 @@
+//! Plans: drawn, written, read, refused and shrunk.
+
+use fawnstream_soak::plan::{Plan, PlanError};
+use fawnstream_soak::shrink::shrink;
+
+#[test]
+fn a_seed_has_one_plan_and_a_file_keeps_it() {
+    let folder = tempfile::tempdir().unwrap();
+    for seed in 1..50 {
+        let plan = Plan::draw(seed);
+        assert_eq!(plan, Plan::draw(seed));
+        assert!((10..=40).contains(&plan.routers), "{}", plan.routers);
+        let path = folder.path().join("plan.toml");
+        plan.write(&path).unwrap();
+        assert_eq!(Plan::read(&path).unwrap(), plan);
+    }
+}
+
+#[test]
+fn most_plans_have_troubles_that_overlap() {
+    let overlaps = |plan: &Plan| {
+        let ends = |at: usize| plan.troubles[at].at_ms + plan.troubles[at].for_ms;
+        (1..plan.troubles.len()).any(|at| plan.troubles[at].at_ms < ends(at - 1))
+    };
+    let count = (1..=100).filter(|seed| overlaps(&Plan::draw(*seed))).count();
+    assert!(count > 80, "{count} of 100");
+}
+
+#[test]
+fn a_file_that_makes_no_sense_gets_one_clear_line() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("plan.toml");
+    let good = "seed = 1\nrouters = 2\nreaders = 1\nwriters = 1\nrequests_per_s = 10.0\nquiet_ms = 0\nload_ms = 100\n";
+    let wrong = |text: &str| {
+        std::fs::write(&path, text).unwrap();
+        Plan::read(&path).unwrap_err().to_string()
+    };
+    assert!(wrong(&good.replace("routers = 2", "routers = 0")).contains("routers"));
+    assert!(wrong(&good.replace("10.0", "-1.0")).contains("requests_per_s"));
+    let trouble = "[[troubles]]\nat_ms = 1\nfor_ms = 1\nwhat = \"worker_hangs\"\nworker = 9\n";
+    assert!(wrong(&format!("{good}{trouble}")).contains("a worker that there is not"));
+    assert!(wrong("what = is").lines().count() == 1);
+    assert!(matches!(Plan::read(&folder.path().join("none")), Err(PlanError::Io(_))));
+}
+
+#[test]
+fn shrinking_finds_the_two_troubles_that_matter() {
+    let mut plan = Plan::draw(1);
+    plan.troubles = (0..9).map(|n| Plan::draw(n + 1).troubles[0].clone()).collect();
+    let (first, second) = (plan.troubles[2].clone(), plan.troubles[7].clone());
+    let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    let wanted = [first.clone(), second.clone()];
+    let fails = |plan: Plan| {
+        let both = wanted.iter().all(|trouble| plan.troubles.contains(trouble));
+        async move { both }
+    };
+    let fewest = runtime.block_on(shrink(plan, 100, fails));
+    assert_eq!(fewest.troubles, [first, second]);
+}
