--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -38,6 +38,9 @@
     /// Plays one seed alone and keeps the routers' logs, whatever comes of it
     #[arg(long, value_name = "SEED", conflicts_with_all = ["plan", "seeds"])]
     replay: Option<u64>,
+    /// Prints the seeds' plans and plays nothing
+    #[arg(long)]
+    draw: bool,
     /// Plays at once
     #[arg(long, default_value_t = 4)]
     jobs: usize,
@@ -185,8 +188,23 @@
     Ok(failed.is_empty())
 }
 
+/// Prints plans as their files have them.
+fn print_plans(arguments: &Arguments) -> Result<(), SoakError> {
+    for plan in plans(arguments)? {
+        println!("{}", plan.text()?);
+    }
+    Ok(())
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
+    if arguments.draw {
+        if let Err(error) = print_plans(&arguments) {
+            eprintln!("fawnstream-soak: {error}");
+            return ExitCode::FAILURE;
+        }
+        return ExitCode::SUCCESS;
+    }
     if !Path::new(&arguments.program).exists() {
         eprintln!("fawnstream-soak: no program at {}", arguments.program.display());
         return ExitCode::FAILURE;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -303,8 +303,12 @@
 
     /// Writes a file.
     pub fn write(&self, path: &Path) -> Result<(), PlanError> {
-        let text = toml::to_string(self).map_err(|error| PlanError::Toml(error.to_string()))?;
-        Ok(std::fs::write(path, text)?)
+        Ok(std::fs::write(path, self.text()?)?)
+    }
+
+    /// A file's text.
+    pub fn text(&self) -> Result<String, PlanError> {
+        toml::to_string(self).map_err(|error| PlanError::Toml(error.to_string()))
     }
 }
 
