--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -10,6 +10,8 @@
 const END_SEEN: Duration = Duration::from_millis(25);
 /// A process may be held up for so long, and all rules hold.
 const SHORT_HOLD: Duration = Duration::from_millis(150);
+/// A kill is noted before it is done, and a client's connection may be made until then.
+const KILL_SEEN: Duration = Duration::from_millis(100);
 /// Requests that come so long after SIGTERM need no answer at SIGKILL.
 const AFTER_TERM: Duration = Duration::from_millis(700);
 /// Descriptors of a router at rest, at most: sockets that listen, the watch, the ledger and the runtime's own.
@@ -206,7 +208,7 @@
             let told = done[..place].iter().rev().take_while(|(_, done)| *done != Done::Started);
             let told = told.filter(|(_, done)| *done == Done::Told).map(|(at, _)| *at).next();
             let owed = told.is_some_and(|told| asked <= told + AFTER_TERM);
-            *what == Done::Killed && *at >= asked && *at <= until + Duration::from_millis(50) && !owed
+            *what == Done::Killed && *at + KILL_SEEN >= asked && *at <= until + KILL_SEEN && !owed
         })
     }
 
