--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,7 +1,7 @@
 //! `fawnstream-soak`: plays seeds or plans, prints each broken rule with its request's story, and shrinks what fails.
 
 use clap::Parser;
-use fawnstream_soak::oracle::{Violation, judge};
+use fawnstream_soak::oracle::{MOST_LATE, Violation, judge};
 use fawnstream_soak::plan::{Plan, PlanError};
 use fawnstream_soak::shrink::shrink;
 use fawnstream_soak::story::Happened;
@@ -79,7 +79,8 @@
     let folder =
         tempfile::Builder::new().prefix(&format!("seed-{}-", plan.seed)).tempdir_in(&arguments.out)?;
     let seen = play(&plan, &arguments.program, folder.path()).await?;
-    let violations = judge(&seen, &plan);
+    let too_late = seen.lateness > MOST_LATE;
+    let violations = if too_late { Vec::new() } else { judge(&seen, &plan) };
     if keep || !violations.is_empty() {
         let kept = folder.keep();
         plan.write(&kept.join("plan.toml"))?;
@@ -160,11 +161,27 @@
         });
     }
     let (mut done, mut requests, mut lateness, mut failed) = (0, 0, Duration::ZERO, Vec::new());
+    let (mut again, mut void) = (Vec::new(), 0);
     let mut all = BTreeMap::new();
     let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
-    while let Some(played) = plays.join_next().await {
-        let Ok(played) = played else { continue };
-        let Some(played) = played? else { continue };
+    loop {
+        let (played, alone) = match plays.join_next().await {
+            Some(Ok(played)) => (played?, false),
+            Some(Err(_)) => continue,
+            None => match again.pop() {
+                Some(plan) => (Some(one(plan, &arguments, false).await?), true),
+                None => break,
+            },
+        };
+        let Some(played) = played else { continue };
+        if played.lateness > MOST_LATE {
+            println!("seed {}: the harness was late by {} ms", played.plan.seed, played.lateness.as_millis());
+            match alone {
+                true => void += 1,
+                false => again.push(played.plan),
+            }
+            continue;
+        }
         (done, requests, lateness) = (done + 1, requests + played.requests, lateness.max(played.lateness));
         for (outcome, count) in &played.outcomes {
             *outcomes.entry(outcome.clone()).or_default() += count;
@@ -181,7 +198,7 @@
     }
     let all: BTreeMap<&str, usize> = all;
     println!(
-        "{done} plays, {requests} requests, the harness late by {} ms at most, {} failed {all:?}",
+        "{done} plays, {void} too late to judge, {requests} requests, the harness late by {} ms at most, {} failed {all:?}",
         lateness.as_millis(),
         failed.len()
     );
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -6,6 +6,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
+/// A play in which the harness itself was later than this says nothing of the routers: it is played again, alone.
+pub const MOST_LATE: Duration = Duration::from_millis(250);
 /// Two attempts of one request may seem to overlap by this: the harness sees an end when it is told of it.
 const END_SEEN: Duration = Duration::from_millis(25);
 /// A process may be held up for so long, and all rules hold.
