--- a/router/tests/system_calls.rs
+++ b/router/tests/system_calls.rs
@@ -35,6 +35,20 @@
     })
 }
 
+/// What puts one reader and one writer into a configuration, and no discovery.
+fn beside_servers() -> impl Fn(String) -> String {
+    let (reads, writes) = (reader(&Arc::default()), writer());
+    move |text: String| {
+        let text = text.replace("{d}", DROPPED).replace("\"quota_per_s\": 100.0", "\"quota_per_s\": 10000.0");
+        text.replace("{r1}", &reads.to_string()).replace("{w1}", &writes.to_string())
+    }
+}
+
+/// What puts servers into a configuration at whose addresses nobody listens.
+fn beside_nobody(text: String) -> String {
+    ["{d}", "{r1}", "{w1}"].iter().fold(text, |text, at| text.replace(at, DROPPED))
+}
+
 /// A router under a control page, with its configuration's text changed.
 fn start(folder: &Path, control: &Control, change: impl Fn(String) -> String, arguments: &[&str]) -> Router {
     std::fs::write(folder.join("config.json"), change(include_str!("config.json").to_owned())).unwrap();
@@ -78,11 +92,7 @@
 fn ask_while_accept_fails(call: Call) {
     let folder = tempfile::tempdir().unwrap();
     let control = Control::create(&folder.path().join("control")).unwrap();
-    let (reads, writes) = (reader(&Arc::default()), writer());
-    let fill = |text: String| {
-        let text = text.replace("{d}", DROPPED).replace("\"quota_per_s\": 100.0", "\"quota_per_s\": 10000.0");
-        text.replace("{r1}", &reads.to_string()).replace("{w1}", &writes.to_string())
-    };
+    let fill = beside_servers();
     let router = start(folder.path(), &control, fill, &[]);
     control.fail(call, 200).unwrap();
     let lost = std::thread::scope(|scope| {
@@ -172,11 +182,7 @@
 fn serve_while_the_disk_fails(call: Call) {
     let folder = tempfile::tempdir().unwrap();
     let control = Control::create(&folder.path().join("control")).unwrap();
-    let (reads, writes) = (reader(&Arc::default()), writer());
-    let fill = |text: String| {
-        let text = text.replace("{d}", DROPPED).replace("\"quota_per_s\": 100.0", "\"quota_per_s\": 10000.0");
-        text.replace("{r1}", &reads.to_string()).replace("{w1}", &writes.to_string())
-    };
+    let fill = beside_servers();
     let usage = folder.path().join("usage");
     let ledger = include_str!("../../deploy/ledger.toml").split("[sink]").next().unwrap();
     let ledger = ledger
@@ -213,7 +219,6 @@
 fn a_router_starts_once_its_ledgers_disk_works() {
     let folder = tempfile::tempdir().unwrap();
     let control = Control::create(&folder.path().join("control")).unwrap();
-    let fill = |text: String| ["{d}", "{r1}", "{w1}"].iter().fold(text, |text, at| text.replace(at, DROPPED));
     let usage = folder.path().join("usage");
     let ledger = include_str!("../../deploy/ledger.toml").split("[sink]").next().unwrap();
     let ledger = ledger.replace("/var/lib/fawnstream/usage", usage.to_str().unwrap());
@@ -221,8 +226,8 @@
     let ledger = folder.path().join("ledger.toml");
     control.fail(Call::Sync, 1_000).unwrap();
     let router = std::thread::scope(|scope| {
-        let started =
-            scope.spawn(|| start(folder.path(), &control, fill, &["--ledger", ledger.to_str().unwrap()]));
+        let started = scope
+            .spawn(|| start(folder.path(), &control, beside_nobody, &["--ledger", ledger.to_str().unwrap()]));
         std::thread::sleep(Duration::from_millis(700));
         control.calm().unwrap();
         started.join().unwrap()
@@ -236,8 +241,7 @@
 fn the_router_accepts_again_once_descriptors_are_to_be_had() {
     let folder = tempfile::tempdir().unwrap();
     let control = Control::create(&folder.path().join("control")).unwrap();
-    let fill = |text: String| ["{d}", "{r1}", "{w1}"].iter().fold(text, |text, at| text.replace(at, DROPPED));
-    let router = start(folder.path(), &control, fill, &[]);
+    let router = start(folder.path(), &control, beside_nobody, &[]);
     control.fail(Call::Exhausted, 1_000).unwrap();
     let _waiting = TcpStream::connect(router.clients).unwrap();
     std::thread::sleep(Duration::from_millis(300));
