--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -1,6 +1,7 @@
 //! The listener: accepts clients' connections, sees to it that there is room for those that ask something, and ends
 //! each of them in order.
 
+use super::accept_error::AcceptError;
 use super::conn::{Conn, Wire};
 use crate::core::Core;
 use crate::lifecycle::{Lifecycle, Phase};
@@ -12,11 +13,12 @@
 use actix_http::h1::{ExpectHandler, UpgradeHandler};
 use actix_http::{ConnectionType, HttpServiceBuilder, Request, Response, h1};
 use actix_service::{Service, ServiceFactory, fn_service};
+use fawnstream_attempts::decisions::{Need, SETTLED_AFTER, may_evict};
+use fawnstream_attempts::invariants::Rule;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -39,18 +41,19 @@
 /// A head that has begun is whole this long after its client was sent away: 4 s after a drain no connection may carry
 /// a request from the last 2 s.
 const LAST_HEAD: Duration = Duration::from_millis(1_900);
-/// A connection that never asked anything is given up for another one only when it is older than this.
-const FRESH: Duration = Duration::from_millis(150);
 /// Connections that the system accepts ahead of the router, at most.
 const BACKLOG: u32 = 1_024;
 /// The runtime has looked at its sockets once more after this.
 const ONE_TURN: Duration = Duration::from_millis(5);
 /// Connections beyond the limit that are told so, rather than just closed.
 const MOST_TURNED_AWAY: usize = 16;
-/// When the system has no descriptor left, so many connections end, and accepting waits for them: it neither spins
+/// When this process has no descriptor left, so many connections end, and accepting waits for them: it neither spins
 /// nor stops.
 const EVICTED_AT_ONCE: usize = 8;
-const NO_DESCRIPTORS: Duration = Duration::from_millis(20);
+
+/// Ends of a connection under a request that are the client's, or go on elsewhere.
+const FREE_ENDS: [&str; 6] =
+    ["client-closed", "reset", "handed-over", "answer-broken", "slow-client", "bad-head"];
 
 const LATE: &[u8] = b"HTTP/1.1 408 Request Timeout\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
 const LARGE: &[u8] =
@@ -76,6 +79,7 @@
     accepting: Rc<Cell<usize>>,
     most: usize,
     turned_away: Cell<usize>,
+    accept_errors: Cell<u64>,
     bodies: Rc<Cell<usize>>,
     most_bodies: usize,
 }
@@ -100,6 +104,7 @@
             accepting: Rc::default(),
             most,
             turned_away: Cell::new(0),
+            accept_errors: Cell::new(0),
             bodies: Rc::default(),
             most_bodies,
         })
@@ -126,9 +131,18 @@
         Entered { shared: self.clone(), number }
     }
 
-    /// Ends so many connections without a request under way, as far as there are any.
-    pub fn evict_some(&self, most: usize) {
-        let _ = (0..most).all(|_| self.evict());
+    /// Notes that `accept` failed; where this process has no descriptor left, so many connections that rest end.
+    pub fn accept_failed(&self, peer: &str, kind: AcceptError, error: &std::io::Error, most: usize) {
+        log!("accept failed peer={peer} kind={} error=\"{error}\"", kind.name());
+        self.accept_errors.set(self.accept_errors.get() + 1);
+        if kind == AcceptError::Exhausted {
+            let _ = (0..most).all(|_| self.evict(Need::Descriptors));
+        }
+    }
+
+    /// Calls of `accept` that have failed.
+    pub fn accept_errors(&self) -> u64 {
+        self.accept_errors.get()
     }
 
     /// Client connections that are open.
@@ -147,27 +161,25 @@
     }
 
     /// Makes room for one more connection, at the cost of the one that needs its place least: silent from the
-    /// start, else longest without a request. False if all have requests under way.
+    /// start, else longest without a request. False if none can go.
     fn make_room(&self) -> bool {
-        self.open() < self.most || self.evict()
+        self.open() < self.most || self.evict(Need::Place)
     }
 
-    /// Ends one connection without a request under way. False if there is none.
-    fn evict(&self) -> bool {
+    /// Ends one connection without a request. False if there is none: one whose request has begun to come is owed an
+    /// answer.
+    fn evict(&self, need: Need) -> bool {
         let conns = self.conns.borrow();
+        let may_go = |conn: &&Rc<Conn>| may_evict(&conn.facts(), need);
         let rank = |conn: &&Rc<Conn>| {
-            let fresh = conn.since.get().elapsed() < FRESH;
-            let rank = match (conn.requests.get(), fresh) {
-                // A request has begun to come.
-                _ if conn.begun() => 3,
+            let rank = match (conn.requests.get(), conn.since.get().elapsed() < SETTLED_AFTER) {
                 (0, false) => 0,
                 (0, true) => 2,
                 _ => 1,
             };
             (rank, conn.since.get())
         };
-        let least = conns.values().filter(|conn| conn.idle() && !conn.leaving.get()).min_by_key(rank);
-        let Some(least) = least else { return false };
+        let Some(least) = conns.values().filter(may_go).min_by_key(rank) else { return false };
         least.leaving.set(true);
         least.evict.notify_one();
         true
@@ -339,6 +351,10 @@
                 let shared = shared.clone();
                 actix_rt::spawn(async move {
                     let code = follow(served, &conn, &shared).await;
+                    if conn.owes() && !FREE_ENDS.contains(&code) {
+                        let what = format!("connection={peer} code={code}");
+                        shared.core.violated(Rule::ClosedUnanswered, &what);
+                    }
                     drop(entered);
                     log!(
                         "connection peer=client address={peer} code={code} requests={}",
@@ -346,12 +362,12 @@
                     );
                 });
             }
-            // The client was gone before it was accepted.
-            Err(error) if error.kind() == ErrorKind::ConnectionAborted => {}
             Err(error) => {
-                log!("accept failed error=\"{error}\"");
-                shared.evict_some(EVICTED_AT_ONCE);
-                actix_rt::time::sleep(NO_DESCRIPTORS).await;
+                let kind = AcceptError::of(&error);
+                shared.accept_failed("client", kind, &error, EVICTED_AT_ONCE);
+                if let Some(wait) = kind.wait() {
+                    actix_rt::time::sleep(wait).await;
+                }
             }
         }
     }
@@ -412,9 +428,8 @@
                 (true, false) => {
                     ending = Some(Ending { code: "evicted", since: now, requests: conn.requests.get() });
                 }
-                (true, true) => break "evicted",
                 // Its next request came in that moment: it stays.
-                (false, _) => conn.leaving.set(false),
+                _ => conn.leaving.set(false),
             },
             _ = life.changed() => {}
             () = conn.free.notified() => {
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -7,7 +7,9 @@
 use crate::log;
 use crate::names;
 use crate::usage::{self, Usage};
+use fawnstream_attempts::invariants::{Rule, Violations};
 use fawnstream_attempts::{Attempts, Repeat};
+use fawnstream_fleet::start_times::{Clocks, StartTimes};
 use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
@@ -28,6 +30,8 @@
 /// A request that is still open so long after its deadline is failed whatever the module thinks. Guards
 /// against a request that nobody answers.
 const OVERDUE: Duration = Duration::from_millis(5);
+/// An answer that is so late is lost, whatever it says.
+const ANSWER_LOST: Duration = Duration::from_millis(500);
 /// A repeat has to reach its server within the time for which repeats are dropped: it is on its way for no longer.
 const ON_THE_WAY: Duration = Duration::from_millis(20);
 
@@ -176,6 +180,8 @@
     started: bool,
     answered: bool,
     left: bool,
+    /// Its final outcome was told.
+    done: Cell<bool>,
 }
 
 /// What the list says of a server, for who keeps connections there.
@@ -210,6 +216,8 @@
     releases: RefCell<HashMap<u64, Vec<(ServerId, Alarm)>>>,
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
+    /// When servers started, whatever the wall clock says.
+    start_times: RefCell<StartTimes>,
     servers: RefCell<Option<Rc<dyn Servers>>>,
     /// Who goes on with a client's connection that was given up.
     bare: RefCell<Option<Bare>>,
@@ -222,6 +230,8 @@
     decisions: Option<Histogram>,
     /// The usage ledger, where there is one.
     usage: Option<Rc<Usage>>,
+    /// Rules that were broken.
+    violations: Violations,
     born: Instant,
     unix: u64,
     last: Cell<u64>,
@@ -258,6 +268,7 @@
             releases: RefCell::default(),
             labels: RefCell::default(),
             list: RefCell::default(),
+            start_times: RefCell::default(),
             servers: RefCell::default(),
             bare: RefCell::default(),
             on_news: RefCell::default(),
@@ -265,6 +276,7 @@
             dispatches: Rc::default(),
             decisions: decision_times(),
             usage,
+            violations: Violations::default(),
             born: Instant::now(),
             unix: unix.as_nanos() as u64,
             last: Cell::new(0),
@@ -335,8 +347,8 @@
         &self.names
     }
 
-    /// The module's clock: Unix time at the start, and monotonic from there, so that it can be compared with
-    /// the list's start times and never goes back.
+    /// The module's clock: Unix time at the start, and monotonic from there. It never goes back; the list's start times
+    /// are put on it by [`StartTimes`].
     pub fn now(&self) -> Time {
         Time(self.unix + self.born.elapsed().as_nanos() as u64)
     }
@@ -420,12 +432,13 @@
                 for (id, server) in list.iter().filter(|(id, _)| !named.contains(id)) {
                     tell(server, now);
                     gone.push((*id, server.clone()));
+                    self.start_times.borrow_mut().dropped(id.0, self.hold_time());
                 }
                 list.retain(|id, _| named.contains(id));
                 dropped = gone.len();
             }
             for entry in &update.entries {
-                let Some(member) = self.member(entry) else { continue };
+                let Some(member) = self.member(entry, update.current) else { continue };
                 let role = self.roles[member.kind.0];
                 let same = |known: &&Rc<Server>| known.address == entry.address && known.role == role;
                 let known = list.get(&member.server).filter(same);
@@ -457,10 +470,12 @@
                 // Guards against a list that grows with each server that ever was.
                 if member.state == ServerState::Left {
                     list.remove(&member.server);
+                    self.start_times.borrow_mut().dropped(member.server.0, self.hold_time());
                 }
                 members.push(member);
             }
         }
+        self.start_times.borrow_mut().sweep(self.hold_time());
         if let Some(servers) = self.servers.borrow().as_ref() {
             gone.iter().for_each(|(_, server)| servers.retire(server));
         }
@@ -489,20 +504,37 @@
         }
     }
 
-    fn member(&self, entry: &Entry) -> Option<Member> {
+    /// When a server started, on the module's clock; none for long ago.
+    fn start_of(&self, entry: &Entry, current: Option<Instant>) -> Option<Time> {
+        if entry.up_since_ms == 0 {
+            return None;
+        }
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clocks = Clocks { monotonic: self.hold_time(), wall };
+        let current = current.map(|at| self.monotonic(at));
+        let stamp = Duration::from_millis(entry.up_since_ms);
+        let start = self.start_times.borrow_mut().listed(server_id(&entry.id).0, stamp, clocks, current);
+        Some(Time(start.as_nanos() as u64))
+    }
+
+    /// The module's clock at an instant.
+    fn monotonic(&self, at: Instant) -> Duration {
+        Duration::from_nanos(self.unix) + at.saturating_duration_since(self.born)
+    }
+
+    fn member(&self, entry: &Entry, current: Option<Instant>) -> Option<Member> {
         let Some(kind) = self.names.kinds.iter().position(|kind| *kind == entry.kind) else {
             log!("list dropped server={:?} reason=unknown-kind", entry.id);
             return None;
         };
         let zone = self.names.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(usize::MAX);
-        let up_since = Some(entry.up_since_ms).filter(|ms| *ms > 0);
         Some(Member {
             server: server_id(&entry.id),
             state: entry.state,
             kind: KindId(kind),
             zone: ZoneId(zone),
             cell: CellId(entry.cell),
-            up_since: up_since.map(|ms| Time(ms.saturating_mul(1_000_000))),
+            up_since: self.start_of(entry, current),
         })
     }
 
@@ -559,6 +591,7 @@
             started: false,
             answered: false,
             left: false,
+            done: Cell::new(false),
         };
         if let Some(usage) = &self.usage {
             usage.came(id, &exchange.call, self.tenant_name(exchange.call.tenant));
@@ -624,6 +657,7 @@
             started: true,
             answered: true,
             left: false,
+            done: Cell::new(false),
         };
         if let (Some(usage), Some(bill)) = (&self.usage, bill) {
             usage.carried(request, bill);
@@ -778,6 +812,9 @@
     fn answer(&self, id: RequestId, opening: Opening) {
         if let Some(open) = self.open.borrow_mut().get_mut(&id).filter(|open| !open.answered) {
             open.answered = true;
+            if Instant::now() > open.deadline + ANSWER_LOST {
+                self.violated(Rule::AnswerInTime, &format!("id={}", open.exchange.call.label));
+            }
             open.exchange.open(opening);
             let how = match opening {
                 Opening::Failed => "failed",
@@ -826,6 +863,9 @@
     /// One line for each request: its final outcome, which is counted here alone.
     fn done(&self, id: RequestId, open: &Open, outcome: &str, tokens: Option<Tokens>) {
         let call = &open.exchange.call;
+        if open.done.replace(true) {
+            return self.violated(Rule::OneFinalAnswer, &format!("id={} outcome={outcome}", call.label));
+        }
         if let Some(usage) = &self.usage {
             let used = Used {
                 label: call.label.clone(),
@@ -1034,6 +1074,34 @@
         });
     }
 
+    /// Whether one more attempt may be sent. The module asks the same before; here a violation is counted.
+    fn check_send(&self, open: &Open) -> bool {
+        let label = &open.exchange.call.label;
+        if open.current.is_some() || open.history.out() {
+            self.violated(Rule::OneAttemptAtOnce, &format!("id={label} attempts={}", open.attempts));
+            return false;
+        }
+        // Which servers drop repeats together is the module's to know.
+        let repeat = self.repeat(open.exchange.call.class);
+        let allowed = open.history.may_repeat(repeat, self.hold_time(), |_| true);
+        if !allowed {
+            self.violated(Rule::RepeatPermitted, &format!("id={label} attempts={}", open.attempts));
+        }
+        allowed
+    }
+
+    /// A rule was broken: it is counted and logged, and a debug build ends here.
+    pub fn violated(&self, rule: Rule, what: &str) {
+        self.violations.count(rule);
+        log!("invariant violated rule={} {what}", rule.name());
+        debug_assert!(false, "invariant violated: {} {what}", rule.name());
+    }
+
+    /// How often each rule was broken.
+    pub fn violations(&self) -> &Violations {
+        &self.violations
+    }
+
     fn send(&self, id: RequestId, to: ServerId, timeout: Option<Span>) {
         let me = self.me.clone();
         let mut all = self.open.borrow_mut();
@@ -1041,7 +1109,8 @@
         let attempt = Attempt(open.attempts);
         open.attempts += 1;
         let server = self.list.borrow().get(&to).cloned();
-        let Some(server) = server.filter(|_| open.current.is_none()) else {
+        let allowed = self.check_send(open);
+        let Some(server) = server.filter(|_| allowed) else {
             // Never sent; the module hears so after this batch.
             actix_rt::spawn(async move {
                 let Some(core) = me.upgrade() else { return };
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -2,6 +2,7 @@
 
 use crate::clients::Shared;
 use crate::core::Tally;
+use fawnstream_attempts::invariants::Rule;
 use prometheus::{IntCounter, IntCounterVec, IntGauge, Opts, Registry, TextEncoder};
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -52,6 +53,8 @@
         let classes = core.names().classes.iter().zip(&tallies);
         page.by(name, help, "type", classes.map(|(class, tally)| (class.as_str(), count(tally))));
     }
+    let violations = Rule::ALL.iter().map(|rule| (rule.name(), core.violations().of(*rule)));
+    page.by("invariant_violations", "Rules broken by this router; any is a fault.", "rule", violations);
     let (reloads, failed) = shared.reloads.get();
     let (targets, disabled) = core.targets();
     page.counter("dispatches", "Attempts written whole to workers.", core.dispatches());
@@ -64,6 +67,11 @@
     page.counter("holds_late", "Requests for which something was held past the rule's time.", late);
     page.gauge("targets", "Workers in the list.", targets);
     page.gauge("targets_disabled", "Listed workers that get nothing now.", disabled);
+    page.counter(
+        "accept_errors",
+        "Calls of accept that failed, of clients and operators.",
+        shared.accept_errors(),
+    );
     page.counter("reload_success", "Configurations taken over on SIGHUP.", reloads);
     page.counter("reload_failure", "Configurations turned down on SIGHUP.", failed);
     if let Some(usage) = core.usage() {
@@ -73,7 +81,9 @@
         page.counter("ledger_entries", "Entries of use on the disk.", count(&state.entries));
         page.counter("ledger_exported", "Entries of use that the sink has.", count(&state.exported));
         page.counter("ledger_lost", "Requests that the ledger lacks.", count(&state.lost));
-        page.gauge("ledger_stopped", "1 if the ledger's disk failed.", stopped);
+        let waiting = count(&state.waiting) as usize;
+        page.gauge("ledger_waiting", "Entries of use that wait for the disk.", waiting);
+        page.gauge("ledger_stopped", "1 while the ledger's disk fails.", stopped);
     }
     if let Some(live) = &shared.live {
         let (now, figures) = live.figures();
