--- a/faults/shim/faults.c
+++ b/faults/shim/faults.c
@@ -206,15 +206,19 @@
     return fd;
 }
 
+static int opened(int (*real)(const char *, int, ...), const char *path, int flags, mode_t mode) {
+    int under = under_folder(path);
+    if (under && strikes(OPEN)) FAIL(ENOSPC, EIO, ENFILE);
+    return noted(real(path, flags, mode), under);
+}
+
 int open64(const char *path, int flags, ...) {
     REAL(open64);
     va_list rest;
     va_start(rest, flags);
     mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
     va_end(rest);
-    int under = under_folder(path);
-    if (under && strikes(OPEN)) FAIL(ENOSPC, EIO, ENFILE);
-    return noted(real_open64(path, flags, mode), under);
+    return opened(real_open64, path, flags, mode);
 }
 
 int open(const char *path, int flags, ...) {
@@ -223,9 +227,7 @@
     va_start(rest, flags);
     mode_t mode = flags & O_CREAT ? va_arg(rest, mode_t) : 0;
     va_end(rest);
-    int under = under_folder(path);
-    if (under && strikes(OPEN)) FAIL(ENOSPC, EIO, ENFILE);
-    return noted(real_open(path, flags, mode), under);
+    return opened(real_open, path, flags, mode);
 }
 
 int dup2(int from, int to) {
