--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -331,7 +331,7 @@
             Ok(()) => {
                 self.unwritten.push_back(number);
                 self.sync_at.get_or_insert_with(|| Instant::now() + self.told.sync);
-                self.count_waiting();
+                self.state.waiting.fetch_add(u64::from(number.is_some()), Ordering::Relaxed);
             }
             // It is no record: it would not be read again.
             Err(error) => {
@@ -341,11 +341,6 @@
         }
     }
 
-    fn count_waiting(&self) {
-        let entries = self.unwritten.iter().flatten().count() as u64;
-        self.state.waiting.store(entries, Ordering::Relaxed);
-    }
-
     /// Puts what waits on the disk, as far as that works; gives the last entry that got there.
     fn sync(&mut self) -> Option<u64> {
         match self.log.sync() {
@@ -366,7 +361,7 @@
         let done = self.unwritten.len().saturating_sub(self.log.unsynced());
         let numbers: Vec<u64> = self.unwritten.drain(..done).flatten().collect();
         self.state.entries.fetch_add(numbers.len() as u64, Ordering::Relaxed);
-        self.count_waiting();
+        self.state.waiting.fetch_sub(numbers.len() as u64, Ordering::Relaxed);
         numbers.last().copied()
     }
 
