--- a/attempts/src/invariants.rs
+++ b/attempts/src/invariants.rs
@@ -16,16 +16,19 @@
     AnswerInTime,
     /// The router ends no connection on which a request waits for its answer.
     ClosedUnanswered,
+    /// What is held is let go of, or its call is known to have arrived, within the settings' time and the page's slack.
+    HoldReleased,
 }
 
 impl Rule {
     /// All of them.
-    pub const ALL: [Rule; 5] = [
+    pub const ALL: [Rule; 6] = [
         Rule::OneFinalAnswer,
         Rule::OneAttemptAtOnce,
         Rule::RepeatPermitted,
         Rule::AnswerInTime,
         Rule::ClosedUnanswered,
+        Rule::HoldReleased,
     ];
 
     /// The name in metrics and in the log.
@@ -36,6 +39,7 @@
             Rule::RepeatPermitted => "repeat_permitted",
             Rule::AnswerInTime => "answer_in_time",
             Rule::ClosedUnanswered => "closed_unanswered",
+            Rule::HoldReleased => "hold_released",
         }
     }
 }
--- a/attempts/src/lib.rs
+++ b/attempts/src/lib.rs
@@ -10,6 +10,7 @@
 #![warn(missing_docs)]
 
 pub mod decisions;
+pub mod delivery;
 pub mod invariants;
 
 use std::time::Duration;
--- a/holds/src/lib.rs
+++ b/holds/src/lib.rs
@@ -1,17 +1,19 @@
 //! What is held at servers for requests: one owner, with an explicit state for each request, that says when it has to be
 //! let go of and whom to ask. Pure: no clock, no I/O, no threads. Times are since a start that the caller chose.
 //!
-//! A state that was read waits at its reader (`Held`) until a writer's attempt takes it. While no attempt of the request
-//! is out the rule's clock runs, also while connections fail to come up. What has to go is `Owed`; it is `Releasing`
-//! while servers are asked, and `Gone` once one of them said so: every server passes a release on. A read that broke off
-//! may still have left its state after that, so what was lost is released once more.
+//! A state that was read waits at its reader (`Held`) until a writer's attempt takes it. The rule's clock runs until a
+//! call is known to have arrived at a running server: while connections fail to come up, and while a call that was
+//! written is not answered, for a connection may have fallen silent with no error. What has to go is `Owed`; it is
+//! `Releasing` while servers are asked, and `Gone` once one of them said so: every server passes a release on. A read
+//! that broke off may still have left its state after that, so what was lost is released once more.
 //!
 //! What the caller owes: [`Holds::starts`] before each attempt, and none of its bytes written before that says so; one
-//! [`Holds::read`], [`Holds::lost`] or [`Holds::ended`] for its end; [`Holds::act`] after each event and at
-//! [`Holds::next`]; one [`Holds::called`] for each [`Act::Ask`] that no [`Act::Clear`] of its request ended.
+//! [`Holds::read`], [`Holds::lost`], [`Holds::began`] or [`Holds::ended`] for its end; [`Holds::act`] after each event and
+//! at [`Holds::next`]; one [`Holds::called`] for each [`Act::Ask`] that no [`Act::Clear`] of its request ended.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+use fawnstream_attempts::delivery::Delivery;
 use fawnstream_fleet::chance::mix;
 use fawnstream_fleet::reach::Reach;
 use std::collections::{BTreeSet, HashMap};
@@ -107,6 +109,16 @@
         /// The server.
         server: u64,
     },
+    /// What is held is being let go of while an attempt is out that may never have arrived: the attempt goes on, and if it
+    /// does arrive it finds nothing.
+    Overdue {
+        /// The request.
+        request: u64,
+        /// Where it is held.
+        at: u64,
+        /// For how long by now.
+        held: Duration,
+    },
     /// Calls for the request that are still under way end, and an attempt that waits may start: as with [`Start::Go`].
     Clear(u64, Option<Duration>),
     /// Something was held past the rule's time.
@@ -142,7 +154,7 @@
     label: L,
     state: State,
     at: u64,
-    /// Since when no attempt is out.
+    /// Since when no attempt is known to have arrived.
     since: Duration,
     /// An attempt starts or is out.
     out: bool,
@@ -227,14 +239,15 @@
                 self.wake(request, Some(now));
                 Start::Wait
             }
+            // Whether it arrives remains to be seen: until something says so, it falls due all the same.
             State::Held => {
                 let expires = hold.since + self.terms.waits();
-                self.wake(request, None);
+                self.wake(request, Some(expires));
                 Start::Go(Some(expires))
             }
             State::Gone => {
                 let expires = hold.again;
-                self.wake(request, None);
+                self.wake(request, expires);
                 Start::Go(expires)
             }
         }
@@ -242,6 +255,7 @@
 
     /// A read ended well: its state waits there.
     pub fn read(&mut self, request: u64, label: &L, at: u64, now: Duration) {
+        self.end_calls(request);
         let hold = self.hold(request, label, at, now);
         (hold.state, hold.at, hold.since, hold.out) = (State::Held, at, now, false);
         self.wake(request, Some(now + self.terms.waits()));
@@ -255,17 +269,18 @@
         self.wake(request, Some(now));
     }
 
-    /// Another attempt ended with no answer begun; `sent`: it had been written whole, so that the clock starts anew.
-    pub fn ended(&mut self, request: u64, sent: bool, now: Duration) {
+    /// Another attempt ended with no answer begun. If it had arrived the clock starts anew.
+    pub fn ended(&mut self, request: u64, delivery: Delivery, now: Duration) {
         self.leave_line(request);
         let Some(hold) = self.holds.get_mut(&request) else { return };
-        if sent {
+        if delivery.arrived() {
             hold.since = now;
         }
         (hold.out, hold.waits) = (false, false);
         let due = match hold.state {
             State::Held => Some(hold.since + self.terms.waits()),
-            State::Owed | State::Releasing => Some(now),
+            // The next round of a release that is under way stays when it was.
+            State::Owed | State::Releasing => hold.due.or(Some(now)),
             State::Gone => hold.again.map(|again| again.max(now)),
         };
         self.wake(request, due);
@@ -273,6 +288,7 @@
 
     /// An attempt's answer began: all that is held goes by itself.
     pub fn began(&mut self, request: u64) {
+        self.end_calls(request);
         self.forget(request);
     }
 
@@ -280,7 +296,7 @@
     pub fn release(&mut self, request: u64, now: Duration) {
         if let Some(hold) = self.holds.get_mut(&request).filter(|hold| hold.state == State::Held) {
             hold.owe();
-            let due = (!hold.out).then_some(now);
+            let due = if hold.out { hold.due } else { Some(now) };
             self.wake(request, due);
         }
     }
@@ -307,12 +323,11 @@
                 // Once more, when what came later has to go at the latest.
                 let again = hold.since + self.terms.waits();
                 hold.again = std::mem::take(&mut hold.lost).then_some(again);
-                let due = hold.again.filter(|_| !hold.waits);
+                let due = hold.again;
                 self.clear(request);
                 match due {
                     Some(due) => self.wake(request, Some(due.max(now))),
-                    None if self.holds[&request].again.is_none() => self.forget(request),
-                    None => self.wake(request, None),
+                    None => self.forget(request),
                 }
             }
             Called::Failed => {
@@ -403,16 +418,20 @@
 
     fn fall_due(&mut self, request: u64, now: Duration) {
         let Some(hold) = self.holds.get_mut(&request) else { return };
-        debug_assert!(!hold.out || hold.waits, "what an attempt is out for is never due");
+        let held = now.saturating_sub(hold.since);
         match hold.state {
-            // Nobody took it, and nobody said that it has to go: the owner does not wait for that.
-            State::Held => hold.owe(),
+            // Nobody is known to have taken it, and nobody said that it has to go: the owner does not wait for that.
+            State::Held => {
+                hold.owe();
+                if hold.out {
+                    self.acts.push(Act::Overdue { request, at: hold.at, held });
+                }
+            }
             State::Gone if hold.again.is_some() => hold.owe(),
             State::Gone => return self.forget(request),
             State::Owed | State::Releasing => {}
         }
         let Terms { within, grace, .. } = self.terms;
-        let held = now.saturating_sub(hold.since);
         if hold.state == State::Releasing && held >= within + grace {
             if !std::mem::replace(&mut hold.told, true) {
                 self.acts.push(Act::Late { label: hold.label.clone(), at: hold.at, held, why: hold.why });
@@ -483,6 +502,13 @@
         self.wake(request, Some(now + patience));
     }
 
+    /// Ends the request's calls, if there are any.
+    fn end_calls(&mut self, request: u64) {
+        if self.holds.get(&request).is_some_and(|hold| !hold.calls.is_empty()) {
+            self.clear(request);
+        }
+    }
+
     /// Ends the request's calls, and lets an attempt that waits start.
     fn clear(&mut self, request: u64) {
         self.leave_line(request);
--- a/holds/tests/holds.rs
+++ b/holds/tests/holds.rs
@@ -1,5 +1,6 @@
 //! Properties of the owner of holds, in a model of requests, servers and the network in steps of 5 ms.
 
+use fawnstream_attempts::delivery::Delivery;
 use fawnstream_fleet::reach::Reach;
 use fawnstream_holds::{Act, Called, Holds, Start, Terms};
 use proptest::prelude::*;
@@ -29,6 +30,8 @@
     pause: u8,
     connects: Option<u8>,
     lasts: u8,
+    /// It is written on a connection that has fallen silent: it never arrives, and nobody says so.
+    swallowed: bool,
     ends: End,
     /// Where.
     at: u8,
@@ -69,8 +72,19 @@
     ];
     let pause = prop_oneof![6 => Just(0u8), 1 => 0..200u8];
     let connects = prop_oneof![2 => 0..4u8, 2 => Just(50u8), 1 => 0..200u8];
-    let attempt = (pause, proptest::option::of(connects), 1..40u8, end, 0..6u8)
-        .prop_map(|(pause, connects, lasts, ends, at)| Try { pause, connects, lasts, ends, at });
+    let swallowed = prop_oneof![3 => Just(false), 1 => Just(true)];
+    // One that is swallowed lasts until it is given up.
+    let lasts = |swallowed: bool, lasts: u8| if swallowed { lasts.saturating_mul(6) } else { lasts };
+    let attempt = (pause, proptest::option::of(connects), 1..40u8, swallowed, end, 0..6u8).prop_map(
+        move |(pause, connects, steps, swallowed, ends, at)| Try {
+            pause,
+            connects,
+            lasts: lasts(swallowed, steps),
+            swallowed,
+            ends,
+            at,
+        },
+    );
     let script = (0..60u8, proptest::collection::vec(attempt, 1..10));
     // The first server is always in reach.
     let ways = (1..8u8, proptest::collection::vec(way, 0..5)).prop_map(|(first, mut ways)| {
@@ -90,8 +104,9 @@
 struct Truth {
     /// States that are held, by server: from when on.
     states: BTreeMap<u64, Duration>,
+    /// A running server has the attempt.
     live: bool,
-    /// Since when no attempt is out.
+    /// Since when that is so for none.
     idle: Duration,
     begun: bool,
 }
@@ -123,7 +138,10 @@
             match act {
                 Act::Ask { request, server, .. } => {
                     self.asked += 1;
-                    assert!(!self.truth[&request].live, "a release under a live attempt");
+                    // Under an attempt only what the router has seen nobody take for as long as it may wait.
+                    let truth = &self.truth[&request];
+                    let waited = now.saturating_sub(truth.idle);
+                    assert!(!truth.live || waited >= self.terms.within / 2, "released after {waited:?}");
                     let way = &mut self.ways[server as usize];
                     let (after, how) = match way {
                         Way::Answers(steps) => (STEP * u32::from(*steps), Called::Answered),
@@ -148,6 +166,9 @@
                         self.phases.insert(request, Phase::Starts { until: None, expires });
                     }
                 }
+                Act::Overdue { request, held, .. } => {
+                    assert!(held >= self.terms.within / 2, "request {request} is overdue after {held:?}");
+                }
                 Act::Late { .. } | Act::Forgotten { .. } => panic!("late, with a server in reach"),
             }
         }
@@ -228,7 +249,7 @@
                     let lost = attempt.connects.is_none_or(|steps| steps >= 50);
                     if expires.is_some_and(|expires| now >= expires) || (now >= until && lost) {
                         // No connection in time, or none at all: on to the next one.
-                        player.holds.ended(id, false, now);
+                        player.holds.ended(id, Delivery::Unsent, now);
                         if expires.is_some_and(|expires| now >= expires) {
                             player.holds.release(id, now);
                         }
@@ -237,7 +258,7 @@
                         player.phases.insert(id, Phase::Before);
                     } else if now >= until {
                         assert!(player.calls.iter().all(|call| call.0 != id), "live under a release");
-                        truth.live = true;
+                        truth.live = !attempt.swallowed;
                         player
                             .phases
                             .insert(id, Phase::Live { until: now + STEP * u32::from(attempt.lasts) });
@@ -248,6 +269,16 @@
                 Phase::Live { until } if now < until => {
                     player.phases.insert(id, Phase::Live { until });
                 }
+                Phase::Live { .. } if attempt.swallowed => {
+                    // Given up here; what it would have read or taken it has not.
+                    match truth.states.is_empty() {
+                        true => player.holds.lost(id, &id, server, now),
+                        false => player.holds.ended(id, Delivery::Written, now),
+                    }
+                    *place += 1;
+                    player.act(now);
+                    player.phases.insert(id, Phase::Before);
+                }
                 Phase::Live { .. } => {
                     (truth.live, truth.idle) = (false, now);
                     let reads = truth.states.is_empty();
@@ -271,7 +302,7 @@
                             }
                             player.holds.lost(id, &id, server, now);
                         }
-                        _ => player.holds.ended(id, true, now),
+                        _ => player.holds.ended(id, Delivery::Arrived, now),
                     }
                     if attempt.ends == End::Over {
                         player.holds.closed(id, now);
@@ -298,8 +329,9 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 256, ..ProptestConfig::default() })]
 
-    /// Whatever is held is let go of in time while a server is in reach, no release goes out under a live attempt and no
-    /// attempt goes live under a release, and nothing is kept for what is over.
+    /// Whatever is held is let go of in time while a server is in reach, also behind attempts that never arrive; no release
+    /// goes out under a live attempt before its time, no attempt goes live under a release, and nothing is kept for what
+    /// is over.
     #[test]
     fn nothing_is_held_past_its_time(world in world()) {
         let player = play(&world);
@@ -397,7 +429,7 @@
 
                     holds.called(request, server, Called::Failed, ms(step * 5));
                 }
-                Act::Clear(..) => {}
+                Act::Clear(..) | Act::Overdue { .. } => {}
             }
         }
     }
@@ -425,6 +457,52 @@
     assert!(!(0..800).any(|now| clear(holds.act(ms(now), &reach))));
     assert!(clear(holds.act(ms(900), &reach)));
     assert!(asked(holds.act(ms(1_500), &reach)).is_empty(), "none under the attempt");
-    holds.ended(1, false, ms(1_600));
+    holds.ended(1, Delivery::Unsent, ms(1_600));
     assert_eq!(asked(holds.act(ms(1_600), &reach)).len(), 1);
 }
+
+/// A call that was written and is not answered: its state is let go of in time, the call goes on, and nothing is left.
+#[test]
+fn what_a_silent_writer_was_sent_for_is_let_go_of_while_the_attempt_is_out() {
+    let (mut holds, reach) = (Holds::new(TERMS), servers(3));
+    holds.read(1, &"a", 0, ms(0));
+    assert_eq!(holds.starts(1, ms(5)), Start::Go(Some(ms(500))));
+    assert!(holds.act(ms(499), &reach).is_empty());
+    let acts = holds.act(ms(500), &reach);
+    assert!(acts.contains(&Act::Overdue { request: 1, at: 0, held: ms(500) }), "{acts:?}");
+    assert_eq!(asked(acts), [0]);
+    holds.called(1, 0, Called::Answered, ms(502));
+    assert!(holds.is_empty());
+    // It arrives after all, and finds nothing: no clock is left to start.
+    holds.ended(1, Delivery::Arrived, ms(900));
+    assert!(holds.is_empty() && holds.next().is_none());
+}
+
+/// The answer begins while its state is being let go of: the calls end, and nothing is counted as late.
+#[test]
+fn an_answer_ends_a_release_that_is_under_way() {
+    let (mut holds, reach) = (Holds::new(TERMS), servers(3));
+    holds.read(1, &"a", 0, ms(0));
+    holds.starts(1, ms(0));
+    assert_eq!(asked(holds.act(ms(500), &reach)), [0]);
+    holds.began(1);
+    assert!(holds.act(ms(501), &reach).contains(&Act::Clear(1, None)));
+    holds.called(1, 0, Called::Answered, ms(502));
+    assert!(holds.is_empty() && holds.next().is_none() && holds.late() == 0);
+}
+
+/// A later read of the same request waits for the release of the earlier one's state, which would take its own.
+#[test]
+fn a_second_read_waits_for_a_release_that_began_under_an_attempt() {
+    let (mut holds, reach) = (Holds::new(TERMS), servers(3));
+    holds.read(1, &"a", 0, ms(0));
+    holds.starts(1, ms(0));
+    assert_eq!(asked(holds.act(ms(500), &reach)), [0]);
+    holds.ended(1, Delivery::Written, ms(501));
+    assert_eq!(holds.starts(1, ms(501)), Start::Wait);
+    holds.called(1, 0, Called::Answered, ms(503));
+    assert!(holds.act(ms(503), &reach).contains(&Act::Clear(1, None)));
+    holds.read(1, &"a", 2, ms(520));
+    assert!(asked(holds.act(ms(1_019), &reach)).is_empty());
+    assert_eq!(asked(holds.act(ms(1_020), &reach)), [2]);
+}
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -1,19 +1,24 @@
 //! The core: owns the module's `Router`, the clock, the timers and every open request, and carries out the
 //! module's actions. It knows no HTTP. The one final answer of each request is decided here alone.
 
+mod releases;
+
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::handover::Bill;
 use crate::list::{Entry, Update};
 use crate::log;
 use crate::names;
+use crate::servers::Traced;
 use crate::usage::{self, Usage};
+use fawnstream_attempts::delivery::Delivery;
 use fawnstream_attempts::invariants::{Rule, Violations};
 use fawnstream_attempts::{Attempts, Repeat};
 use fawnstream_fleet::start_times::{Clocks, StartTimes};
-use fawnstream_holds::{Act, Called, Holds, Start, Terms, Why};
+use fawnstream_holds::{Called, Holds, Start, Terms};
 use fawnstream_ledger::book::Used;
 use fawnstream_ledger::entry::Tokens;
 use prometheus::{Histogram, HistogramOpts};
+use releases::Releases;
 use shedrelay::*;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -35,6 +40,9 @@
 /// A repeat has to reach its server within the time for which repeats are dropped: it is on its way for no longer.
 const ON_THE_WAY: Duration = Duration::from_millis(20);
 
+/// The decisions hear so often of a server whose streams go on.
+const HEARD_EVERY: Duration = Duration::from_millis(40);
+
 /// A server as the core and the servers' side know it.
 pub struct Server {
     /// Its name in the list.
@@ -45,6 +53,8 @@
     pub role: Role,
     /// Since when it is known to take nothing new.
     pub told: Cell<Option<Instant>>,
+    /// When the decisions were last told that it says something.
+    pub heard: Cell<Option<Instant>>,
 }
 
 /// One attempt, as the servers' side gets it.
@@ -83,35 +93,38 @@
     pub report: Option<Report>,
     /// How that is known.
     pub evidence: Evidence,
-    /// The whole request was written: the server may have begun it, whatever came of the connection.
-    pub written: bool,
+    /// How far it came.
+    pub delivery: Delivery,
     /// A reason for the log.
     pub reason: &'static str,
     /// The server works and says that it can't use the request.
     pub unusable: bool,
     /// For how long its connection had been idle; none if it was new.
     pub idle: Option<Duration>,
+    /// Its connection, for the log; none where it has none.
+    pub connection: Option<Traced>,
 }
 
 impl Ended {
     /// An attempt that told nothing but how it ended.
-    pub fn new(verdict: Verdict, evidence: Evidence, written: bool, reason: &'static str) -> Self {
+    pub fn new(verdict: Verdict, evidence: Evidence, delivery: Delivery, reason: &'static str) -> Self {
         Ended {
             verdict,
             kept: None,
             used: None,
             report: None,
             evidence,
-            written,
+            delivery,
             reason,
             unusable: false,
             idle: None,
+            connection: None,
         }
     }
 
     /// It was never sent.
     pub fn unsent(verdict: Verdict, reason: &'static str) -> Self {
-        Ended::new(verdict, Evidence::Router, false, reason)
+        Ended::new(verdict, Evidence::Router, Delivery::Unsent, reason)
     }
 }
 
@@ -166,6 +179,8 @@
     /// What the attempts prove, on the module's clock.
     history: Attempts<ServerId>,
     current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
+    /// What was held for it was let go of while an attempt was out.
+    overdue: bool,
     /// Lets an attempt begin that waits for a release.
     go: Option<oneshot::Sender<Option<Instant>>>,
     /// How long it waited for its first attempt, and until its prompt was read.
@@ -210,10 +225,9 @@
     /// What repeats of each class do.
     repeats: Vec<Repeat>,
     open: RefCell<HashMap<RequestId, Open>>,
-    /// What is held for requests, when that is looked at next, and who is being asked to let go of it.
+    /// What is held for requests.
     holds: RefCell<Holds<Rc<str>>>,
-    hold_alarm: RefCell<Option<(Duration, Alarm)>>,
-    releases: RefCell<HashMap<u64, Vec<(ServerId, Alarm)>>>,
+    releases: Releases,
     labels: RefCell<HashMap<String, RequestId>>,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
     /// When servers started, whatever the wall clock says.
@@ -264,8 +278,7 @@
             repeats,
             open: RefCell::default(),
             holds: RefCell::new(Holds::new(terms)),
-            hold_alarm: RefCell::default(),
-            releases: RefCell::default(),
+            releases: Releases::default(),
             labels: RefCell::default(),
             list: RefCell::default(),
             start_times: RefCell::default(),
@@ -453,6 +466,7 @@
                         address: entry.address,
                         role: self.roles[member.kind.0],
                         told: Cell::new(None),
+                        heard: Cell::new(None),
                     })
                 });
                 if member.state == ServerState::Active {
@@ -582,6 +596,7 @@
             attempts: 0,
             history: Attempts::default(),
             current: None,
+            overdue: false,
             go: None,
             sent: None,
             read: None,
@@ -636,7 +651,8 @@
         self.last.set(request.0);
         let known = self.list.borrow().values().find(|server| server.label == label).cloned();
         let server = known.filter(|server| server.address == address).unwrap_or_else(|| {
-            Rc::new(Server { label: label.to_owned(), address, role: Role::Writer, told: Cell::new(None) })
+            let (told, heard) = Default::default();
+            Rc::new(Server { label: label.to_owned(), address, role: Role::Writer, told, heard })
         });
         self.labels.borrow_mut().insert(exchange.call.label.clone(), request);
         let (stop, stopped) = oneshot::channel();
@@ -648,6 +664,7 @@
             attempts: 1,
             history: Attempts::default(),
             current: Some((server.clone(), Some(stop))),
+            overdue: false,
             go: None,
             sent: None,
             read: None,
@@ -728,12 +745,26 @@
             open.first = Some(open.exchange.call.arrived.elapsed());
             // With the first event all that is held goes by itself.
             self.holds.borrow_mut().began(request.0);
+            if open.overdue {
+                self.releases.count_needless();
+            }
             open.exchange.open(Opening::Stream);
         }
+        // A release that was under way ends.
+        self.let_go();
         self.handle(Event::First { request, attempt });
         true
     }
 
+    /// Something of an answer came from a server. Told on at intervals: a stream has many events.
+    pub fn heard(&self, server: &Server) {
+        let now = Instant::now();
+        if server.heard.get().is_none_or(|heard| now.duration_since(heard) >= HEARD_EVERY) {
+            server.heard.set(Some(now));
+            self.handle(Event::Heard(server_id(&server.label)));
+        }
+    }
+
     /// A server told its load ahead of an answer's end.
     pub fn reported(&self, server: &Server, report: Option<Report>) {
         if report.is_some() {
@@ -760,19 +791,19 @@
                 holds.read(request.0, &label(), at, now);
                 open.read = Some(open.exchange.call.arrived.elapsed());
                 open.kept = ended.kept;
-            } else if reads && ended.written && verdict != Verdict::Full {
+            } else if reads && ended.delivery.may_have_run() && verdict != Verdict::Full {
                 // The read may have ended well at the very moment its connection ended.
                 holds.lost(request.0, &label(), at, now);
             } else {
-                holds.ended(request.0, ended.written, now);
+                holds.ended(request.0, ended.delivery, now);
             }
             open.go = None;
             drop(holds);
-            if !ended.written && verdict == Verdict::Cancelled {
+            if !ended.delivery.may_have_run() && verdict == Verdict::Cancelled {
                 // Never sent whole: it proves that it never ran.
                 verdict = if open.answered { Verdict::Moot } else { Verdict::NoRoute };
             }
-            open.history.end(match ended.written {
+            open.history.end(match ended.delivery.may_have_run() {
                 true => verdict.proof(reads, ended.evidence),
                 false => Proof::NeverSent,
             });
@@ -790,14 +821,17 @@
             }
             if verdict != Verdict::Ok && verdict != Verdict::Read {
                 log!(
-                    "attempt id={} try={} server={} role={} verdict={:?} reason={} idle_ms={}",
+                    "attempt id={} try={} server={} role={} verdict={:?} reason={} idle_ms={} delivery={:?} port={} heard_ms={}",
                     open.exchange.call.label,
                     attempt.0,
                     server.label,
                     if reads { "reader" } else { "writer" },
                     verdict,
                     ended.reason,
-                    ms(ended.idle)
+                    ms(ended.idle),
+                    ended.delivery,
+                    ended.connection.map_or(0, |connection| connection.port),
+                    ms(ended.connection.and_then(|connection| connection.heard))
                 );
             }
             open.answered
@@ -917,100 +951,6 @@
         self.let_go();
     }
 
-    // What is held.
-
-    /// The clock of what is held: the module's.
-    fn hold_time(&self) -> Duration {
-        Duration::from_nanos(self.now().0)
-    }
-
-    fn instant(&self, hold_time: Duration) -> Instant {
-        self.born + hold_time.saturating_sub(Duration::from_nanos(self.unix))
-    }
-
-    /// Requests for which something is held or being let go of, and those for which something was held too long.
-    pub fn holding(&self) -> (usize, u64) {
-        let holds = self.holds.borrow();
-        (holds.len(), holds.late())
-    }
-
-    /// Carries out what the owner of holds says, now and when it is next due.
-    fn let_go(&self) {
-        let mut unlisted = Vec::new();
-        loop {
-            let now = self.hold_time();
-            let acts = {
-                let mut holds = self.holds.borrow_mut();
-                for (request, server) in unlisted.drain(..) {
-                    holds.called(request, server, Called::Failed, now);
-                }
-                holds.act(now, self.router.borrow().reach())
-            };
-            if acts.is_empty() {
-                break;
-            }
-            for act in acts {
-                match act {
-                    Act::Ask { request, label, server } => match self.server(ServerId(server)) {
-                        Some(at) => self.ask(request, label, at),
-                        None => unlisted.push((request, server)),
-                    },
-                    Act::Clear(request, expires) => {
-                        self.releases.borrow_mut().remove(&request);
-                        let mut all = self.open.borrow_mut();
-                        if let Some(go) = all.get_mut(&RequestId(request)).and_then(|open| open.go.take()) {
-                            let _ = go.send(expires.map(|at| self.instant(at)));
-                        }
-                    }
-                    Act::Late { label, at, held, why } => {
-                        let at = self.server(ServerId(at));
-                        let (ms, server) = (held.as_millis(), self::label(&at));
-                        log!("hold late id={label} server={server} held_ms={ms} reason={}", reason(why));
-                    }
-                    Act::Forgotten { label, at } => {
-                        let at = self.server(ServerId(at));
-                        log!("hold forgotten id={label} server={}", self::label(&at));
-                    }
-                }
-            }
-        }
-        let next = self.holds.borrow().next();
-        if self.hold_alarm.borrow().as_ref().map(|(at, _)| *at) == next {
-            return;
-        }
-        let me = self.me.clone();
-        *self.hold_alarm.borrow_mut() = next.map(|next| {
-            let at = self.instant(next);
-            let wait = async move {
-                actix_rt::time::sleep_until(at.into()).await;
-                let Some(core) = me.upgrade() else { return };
-                // Not its own task: that would end with the alarm that the next one replaces.
-                let alarm = core.hold_alarm.borrow_mut().take();
-                core.let_go();
-                drop(alarm);
-            };
-            (next, Alarm(actix_rt::spawn(wait)))
-        });
-    }
-
-    /// Asks a server to let go of what is held for a request.
-    fn ask(&self, request: u64, label: Rc<str>, at: Rc<Server>) {
-        let Some(servers) = self.servers.borrow().clone() else { return };
-        let (me, server) = (self.me.clone(), server_id(&at.label));
-        let call = async move {
-            let how = servers.release(label, at).await;
-            let Some(core) = me.upgrade() else { return };
-            if how != Called::Unasked {
-                let ok = how == Called::Answered;
-                core.handle(Event::Probed { server, ok, report: None });
-            }
-            core.holds.borrow_mut().called(request, server.0, how, core.hold_time());
-            core.let_go();
-        };
-        let call = Alarm(actix_rt::spawn(call));
-        self.releases.borrow_mut().entry(request).or_default().push((server, call));
-    }
-
     // The module.
 
     fn handle(&self, event: Event) {
@@ -1179,15 +1119,6 @@
     Histogram::with_opts(told.buckets(buckets)).ok()
 }
 
-/// Why something is held too long, for the log.
-fn reason(why: Why) -> &'static str {
-    match why {
-        Why::Unanswered => "unanswered",
-        Why::Unasked => "no-sockets",
-        Why::NoServer => "no-server",
-    }
-}
-
 /// A time that may be none, for the log.
 fn ms(time: Option<Duration>) -> String {
     time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
--- a/router/src/log.rs
+++ b/router/src/log.rs
@@ -1,7 +1,7 @@
 //! Logging: lines on standard error, so many a second at most.
 
 use std::cell::Cell;
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// Lines that may come at once, and so many more each second. Guards against a flood of failing connections
 /// that would spend the one core on writing about it.
@@ -37,15 +37,21 @@
     })
 }
 
+/// The wall clock now, as Unix time in seconds: each line begins with it, so that the logs of several machines can be put
+/// in one order.
+pub fn unix_time() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs_f64()
+}
+
 /// Writes a line to standard error, unless too many were written of late.
 #[macro_export]
 macro_rules! log {
     ($($part:tt)*) => {
         if let Some(dropped) = $crate::log::admit() {
             if dropped > 0 {
-                eprintln!("log dropped={dropped}");
+                eprintln!("time={:.3} log dropped={dropped}", $crate::log::unix_time());
             }
-            eprintln!($($part)*);
+            eprintln!("time={:.3} {}", $crate::log::unix_time(), format_args!($($part)*));
         }
     };
 }
--- a/router/src/operators/figures.rs
+++ b/router/src/operators/figures.rs
@@ -65,6 +65,10 @@
     let (held, late) = core.holding();
     page.gauge("holds", "Requests for which something is held at servers, or is being let go of.", held);
     page.counter("holds_late", "Requests for which something was held past the rule's time.", late);
+    let (overdue, needless) = core.overdue_holds();
+    let help = "Requests of which what was held was let go of while a call was out that nobody had answered.";
+    page.counter("holds_overdue", help, overdue);
+    page.counter("holds_overdue_answered", "Those of them whose call was answered after all.", needless);
     page.gauge("targets", "Workers in the list.", targets);
     page.gauge("targets_disabled", "Listed workers that get nothing now.", disabled);
     page.counter(
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -21,8 +21,10 @@
 use closing::Closings;
 use events::{Garbage, Tail, report};
 use fawnstream_attempts::decisions::NotBegun;
+use fawnstream_attempts::delivery::Delivery;
 use fawnstream_holds::{Called, Terms};
 use futures_core::Stream;
+pub use link::Traced;
 use link::{Begin, Dialler, Lane, Pool, Raw, Watched};
 use serde::Deserialize;
 use shedrelay::{Attempt, ClassId, Evidence, RequestId, Role, Verdict};
@@ -142,9 +144,10 @@
             let Some(lane) = pool.take(&order.server) else {
                 return core.ended(request, attempt, Ended::unsent(Verdict::Moot, "no-sockets"));
             };
-            let idle = lane.idle();
+            let (idle, trace) = (lane.idle(), lane.trace());
             let sent = Instant::now();
-            let ended = run(&mut way, order, lane).await.map(|ended| Ended { idle, ..ended });
+            let ended = run(&mut way, order, lane).await;
+            let ended = ended.map(|ended| Ended { idle, connection: Some(trace.now()), ..ended });
             if let (Some(idle), Some("reset" | "closed")) = (idle, ended.as_ref().map(|ended| ended.reason))
                 && sent.elapsed() < AT_ONCE
             {
@@ -237,7 +240,7 @@
 impl Way<'_> {
     /// An attempt is given up that may still be out at its server, and another one may follow.
     fn give_up(&self, order: &Order, lane: &Lane) {
-        if lane.written() && order.exchange.waits() {
+        if lane.delivery().may_have_run() && order.exchange.waits() {
             let place = self.pool.carried();
             self.closings.begin(order.request, place.and_then(|place| Some((lane.detach()?, place))));
         }
@@ -320,7 +323,7 @@
         kept: tail.kept,
         used: tail.used,
         report: tail.report,
-        ..Ended::new(verdict, Evidence::Server, true, reason)
+        ..Ended::new(verdict, Evidence::Server, Delivery::Answered, reason)
     }
 }
 
@@ -350,10 +353,11 @@
     let until = order.until;
     let cut = |lane: &Lane, verdict, reason| {
         lane.closing(reason);
-        let written = lane.written();
+        let delivery = lane.delivery();
         // A connection closed before the last byte was written proves that nothing ran.
-        let verdict = if verdict == Verdict::Timeout && !written { Verdict::NoRoute } else { verdict };
-        Ended::new(verdict, Evidence::Router, written, reason)
+        let unsent = !delivery.may_have_run();
+        let verdict = if verdict == Verdict::Timeout && unsent { Verdict::NoRoute } else { verdict };
+        Ended::new(verdict, Evidence::Router, delivery, reason)
     };
     // Kept until the reason is noted: dropping it ends the connection.
     let mut asked = std::pin::pin!(asked);
@@ -382,7 +386,7 @@
             if evidence == Evidence::Router {
                 way.give_up(&order, &lane);
             }
-            return Some(Ended::new(verdict, evidence, lane.written(), reason));
+            return Some(Ended::new(verdict, evidence, lane.delivery(), reason));
         }
     };
     let rejected = answer.headers().get("X-Rejected").is_some_and(|value| value.as_bytes() == b"1");
@@ -448,7 +452,7 @@
         kept,
         report: told,
         unusable: reason == "unusable",
-        ..Ended::new(verdict, evidence, true, reason)
+        ..Ended::new(verdict, evidence, Delivery::Arrived, reason)
     })
 }
 
@@ -483,12 +487,13 @@
     if server.role == Role::Reader { Verdict::Error } else { Verdict::Spoilt }
 }
 
-/// Waits until what is held for an attempt has to be let go; for ever once its last byte is written.
+/// Waits until what is held for an attempt has to be let go; for ever once its last byte is written, for it may be
+/// running: what is held is let go of while it is out.
 async fn expired(at: Option<Instant>, lane: &Lane) {
     if let Some(at) = at {
         actix_rt::time::sleep_until(at.into()).await;
     }
-    if at.is_none() || lane.written() {
+    if at.is_none() || lane.delivery().may_have_run() {
         std::future::pending::<()>().await;
     }
 }
@@ -514,7 +519,7 @@
             (Verdict::NoRoute, Evidence::Router, "connect-timeout")
         }
         // Refused, or reset before it was written whole: a machine that vanished says nothing.
-        _ if !lane.written() => (Verdict::Refused, Evidence::Server, "no-connection"),
+        _ if !lane.delivery().may_have_run() => (Verdict::Refused, Evidence::Server, "no-connection"),
         // A process that dies resets its connections; this one lives, and could not read what came.
         _ if lane.ended() => (Verdict::Closed, Evidence::Server, "closed"),
         SendRequestError::Response(ParseError::Io(_)) => (Verdict::Reset, Evidence::Server, "reset"),
@@ -572,6 +577,7 @@
         };
         match next {
             Some(Ok(bytes)) => {
+                way.core.heard(&order.server);
                 let Ok(events) = tail.feed(&bytes) else { break (Verdict::Spoilt, "garbage") };
                 if events.is_empty() {
                     continue;
--- a/router/src/servers/closing.rs
+++ b/router/src/servers/closing.rs
@@ -2,7 +2,7 @@
 //! ended such a connection too, or when the close must have reached it: on a shorter way the new attempt could
 //! otherwise overtake the close, and run beside the old one.
 
-use super::link::Carried;
+use super::link::{Carried, abort};
 use shedrelay::RequestId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -36,8 +36,9 @@
         Rc::new(Closings { longest: connect / CLOSE_PART, last: Cell::new(0), under_way: RefCell::default() })
     }
 
-    /// Ends the sending side of a given-up attempt's connection and waits for the server to end its own. `stream` is
-    /// none where the connection was closed already, or has no place among all any more and is closed at once.
+    /// Ends the sending side of a given-up attempt's connection and waits for the server to end its own; a server that
+    /// says nothing by the time in which the end must have reached it may never have had the request, and is not to have
+    /// it later: the connection is aborted. `stream` is none where the connection was closed already, or has no place among all any more and is closed at once.
     pub fn begin(self: &Rc<Self>, request: RequestId, stream: Option<(TcpStream, Carried)>) {
         let (done, over) = oneshot::channel();
         let number = self.last.get() + 1;
@@ -45,13 +46,14 @@
         self.under_way.borrow_mut().insert(request, Closing { number, over });
         let (closings, until) = (self.clone(), Instant::now() + self.longest);
         actix_rt::spawn(async move {
-            let ended = async {
-                match stream {
-                    Some((stream, _place)) => end(stream).await,
-                    None => std::future::pending().await,
+            match stream {
+                Some((mut stream, _place)) => {
+                    if tokio::time::timeout_at(until.into(), end(&mut stream)).await.is_err() {
+                        abort(stream);
+                    }
                 }
-            };
-            let _ = tokio::time::timeout_at(until.into(), ended).await;
+                None => tokio::time::sleep_until(until.into()).await,
+            }
             // Nobody may wait for it.
             let _ = done.send(());
             closings.forget(request, number);
@@ -76,7 +78,7 @@
 }
 
 /// Returns when the server has ended the connection, in order or not.
-async fn end(mut stream: TcpStream) {
+async fn end(stream: &mut TcpStream) {
     let _ = stream.shutdown().await;
     let mut piece = [0; PIECE];
     while stream.readable().await.is_ok() {
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -14,7 +14,9 @@
 use awc::http::Uri;
 use bytes::Bytes;
 use fawnstream_attempts::decisions::{BeginFacts, NotBegun, may_begin};
+use fawnstream_attempts::delivery::Delivery;
 use shedrelay_settings::Links;
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::convert::Infallible;
@@ -84,6 +86,12 @@
     /// The last byte was written.
     written: Cell<bool>,
     begun: Cell<bool>,
+    /// Something came back for it.
+    answered: Cell<bool>,
+    /// When something came on the connection last, if ever.
+    heard: Cell<Option<Instant>>,
+    /// The connection's port here: its name in the log.
+    port: Cell<u16>,
     not_begun: Cell<Option<NotBegun>>,
     ended: Cell<bool>,
     extra: Cell<bool>,
@@ -101,6 +109,16 @@
 }
 
 impl Meter {
+    /// An attempt was begun and not answered to its end.
+    fn attempt_is_out(&self) -> bool {
+        self.begun.get() && self.begin.borrow().is_some()
+    }
+
+    /// For how long nothing has come, for the log.
+    fn heard_ms(&self) -> String {
+        self.heard.get().map_or_else(|| "-".to_owned(), |heard| heard.elapsed().as_millis().to_string())
+    }
+
     /// The request's last byte was written: its server may begin it. A release counts as no attempt.
     fn note_written(&self) {
         if !self.written.replace(true) && self.begin.borrow().is_some() {
@@ -109,11 +127,37 @@
     }
 }
 
+/// Closes a connection at once. What the kernel still holds for its server is thrown away: closed in order, it would stay
+/// on its way behind a silence, and could arrive when the attempt has long been given up and another one has run.
+pub fn abort(stream: TcpStream) {
+    // One that fails was broken already.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+}
+
 /// What a connection that was taken out of awc's hands is told.
 fn detached() -> io::Error {
     io::Error::new(io::ErrorKind::NotConnected, "handed over")
 }
 
+/// A connection as the log names it.
+#[derive(Clone, Copy, Debug)]
+pub struct Traced {
+    /// Its port here.
+    pub port: u16,
+    /// For how long nothing has come on it; none if nothing ever did.
+    pub heard: Option<Duration>,
+}
+
+/// Tells of a lane's connection, also when the lane is gone.
+pub struct Trace(Rc<Meter>);
+
+impl Trace {
+    /// How the connection is now.
+    pub fn now(&self) -> Traced {
+        Traced { port: self.0.port.get(), heard: self.0.heard.get().map(|heard| heard.elapsed()) }
+    }
+}
+
 /// A body that notes when awc has taken it.
 pub struct Watched {
     body: Option<Bytes>,
@@ -188,9 +232,15 @@
     fn drop(&mut self) {
         self.open.set(self.open.get() - 1);
         // Nobody else holds it now; the lane, which outlives it by a moment, opens a new one.
-        drop(self.meter.stream.take());
+        if let Some(stream) = self.meter.stream.take().filter(|_| self.meter.attempt_is_out()) {
+            abort(stream);
+        }
         let code = if self.meter.code.get().is_empty() { "cancelled" } else { self.meter.code.get() };
-        log!("connection peer=server address={} code={code}", self.address);
+        let (address, port) = (self.address, self.meter.port.get());
+        log!(
+            "connection peer=server address={address} port={port} code={code} heard_ms={}",
+            self.meter.heard_ms()
+        );
     }
 }
 
@@ -230,6 +280,8 @@
                 this.meter.spoilt.set(Some(spoilt));
             }
             this.meter.extra.set(frames.extra);
+            this.meter.answered.set(true);
+            this.meter.heard.set(Some(Instant::now()));
             if !frames.partial() {
                 this.part = None;
             } else if this.part.is_none() || !this.checked.is_empty() {
@@ -310,6 +362,8 @@
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             open.set(open.get() + 1);
             meter.ended.set(false);
+            meter.heard.set(None);
+            meter.port.set(stream.local_addr().map_or(0, |address| address.port()));
             *meter.stream.borrow_mut() = Some(stream);
             let wire =
                 Wire { address, meter, open, checked: Vec::new(), taken: 0, part: None, waiting: false };
@@ -370,7 +424,8 @@
     /// Prepares for a request that counts as none.
     pub fn unwatched(&self) {
         let meter = &self.meter;
-        let flags = [&meter.body_taken, &meter.written, &meter.begun, &meter.ended, &meter.extra];
+        let flags =
+            [&meter.body_taken, &meter.written, &meter.begun, &meter.answered, &meter.ended, &meter.extra];
         flags.into_iter().for_each(|flag| flag.set(false));
         meter.not_begun.set(None);
         meter.spoilt.set(None);
@@ -383,9 +438,18 @@
         self.used.then(|| self.idle_since.elapsed())
     }
 
-    /// The request's last byte was written.
-    pub fn written(&self) -> bool {
-        self.meter.written.get()
+    /// How far the request has come.
+    pub fn delivery(&self) -> Delivery {
+        match (self.meter.answered.get(), self.meter.written.get()) {
+            (true, true) => Delivery::Arrived,
+            (false, true) => Delivery::Written,
+            (_, false) => Delivery::Unsent,
+        }
+    }
+
+    /// Who tells of the connection when its attempt has ended.
+    pub fn trace(&self) -> Trace {
+        Trace(self.meter.clone())
     }
 
     /// Why nothing was written, where that was forbidden.
--- a/router/tests/silent_connections.rs
+++ b/router/tests/silent_connections.rs
@@ -15,7 +15,7 @@
 const TRIES: usize = 3;
 /// A server that fell silent has been found out after this.
 const FOUND_OUT: Duration = Duration::from_millis(300);
-/// Calls that may go to one after that, for one silence.
+/// Calls that may go to each after that.
 const MOST_AFTER: usize = 10;
 const SILENT_FROM_MS: u64 = 2_500;
 const SILENT_FOR_MS: u64 = 3_000;
@@ -59,9 +59,13 @@
     (seen, broken)
 }
 
-/// Calls that went to servers more than [`FOUND_OUT`] after they had fallen silent.
-fn calls_after(seen: &Seen) -> usize {
-    seen.swallowed.values().flatten().filter(|swallowed| swallowed.after > FOUND_OUT).count()
+/// Calls that went to servers more than [`FOUND_OUT`] after they had fallen silent: server, and how long after.
+fn calls_after(seen: &Seen) -> Vec<(usize, Duration)> {
+    let calls =
+        seen.swallowed.iter().flat_map(|(server, calls)| calls.iter().map(|call| (*server, call.after)));
+    let mut late: Vec<_> = calls.filter(|(_, after)| *after > FOUND_OUT).collect();
+    late.sort();
+    late
 }
 
 /// Requests that ended in no whole stream though their clients waited for it.
@@ -76,7 +80,10 @@
     let (seen, broken) = played(&plan(seed, troubles)).await;
     assert!(broken.is_empty(), "{} rules broken:\n{}", broken.len(), broken.join("\n"));
     let after = calls_after(&seen);
-    assert!(after < MOST_AFTER * troubles.len(), "{after} calls to silent servers after {FOUND_OUT:?}");
+    for server in 0..READERS + WRITERS {
+        let count = after.iter().filter(|(at, _)| *at == server).count();
+        assert!(count < MOST_AFTER, "{count} calls to server {server}, silent for {FOUND_OUT:?}: {after:?}");
+    }
 }
 
 #[tokio::test(flavor = "multi_thread")]
--- a/soak/src/network.rs
+++ b/soak/src/network.rs
@@ -7,10 +7,11 @@
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
 use socket2::SockRef;
+use std::io::ErrorKind;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _, DuplexStream, Interest};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -105,6 +106,7 @@
     pub fn connection(self: &Arc<Self>) -> Arc<Connection> {
         Arc::new(Connection {
             number: self.connections.fetch_add(1, Ordering::Relaxed),
+            resets_before: *self.resets.borrow(),
             network: self.clone(),
             stuck: AtomicBool::new(false),
             cut: watch::Sender::new(false),
@@ -117,6 +119,8 @@
 pub struct Connection {
     network: Arc<Network>,
     number: u64,
+    /// Resets of all connections before it came up.
+    resets_before: u64,
     /// It fell silent for ever.
     stuck: AtomicBool,
     cut: watch::Sender<bool>,
@@ -159,9 +163,12 @@
         silence.is_some() || self.stuck.load(Ordering::Relaxed)
     }
 
-    /// Returns while what is sent passes.
+    /// Returns while what is sent passes; never, once the connection was reset.
     pub async fn passes(&self) {
         let _ = self.network.silence.subscribe().wait_for(|now| !self.is_silent(*now)).await;
+        if *self.network.resets.borrow() != self.resets_before {
+            std::future::pending::<()>().await;
+        }
     }
 
     /// Notes when a request is sent, and whether it is swallowed.
@@ -208,21 +215,30 @@
     /// True if the router reset the connection: what was withheld is dropped.
     async fn towards_server(
         &self,
-        mut router: tokio::net::tcp::ReadHalf<'_>,
+        router: tokio::net::tcp::ReadHalf<'_>,
         mut server: tokio::io::WriteHalf<DuplexStream>,
     ) -> bool {
         let (mut withheld, mut ended) = (Vec::new(), false);
         let mut piece = vec![0; PIECE];
         loop {
             tokio::select! {
-                read = router.read(&mut piece), if !ended && withheld.len() < MOST_WITHHELD => match read {
-                    Ok(0) => ended = true,
-                    Ok(size) => {
-                        self.note_sent(&piece[..size]);
-                        withheld.extend_from_slice(&piece[..size]);
+                // Behind the end of its sending nothing can be read, but a reset is still told.
+                ready = router.ready(if ended { Interest::ERROR } else { Interest::READABLE }),
+                    if ended || withheld.len() < MOST_WITHHELD =>
+                {
+                    if ended || ready.is_err() {
+                        return true;
+                    }
+                    match router.try_read(&mut piece) {
+                        Ok(0) => ended = true,
+                        Ok(size) => {
+                            self.note_sent(&piece[..size]);
+                            withheld.extend_from_slice(&piece[..size]);
+                        }
+                        Err(error) if error.kind() == ErrorKind::WouldBlock => {}
+                        Err(_) => return true,
                     }
-                    Err(_) => return true,
-                },
+                }
                 () = self.passes(), if ended || !withheld.is_empty() => {
                     if withheld.is_empty() {
                         let _ = server.shutdown().await;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -464,6 +464,10 @@
         /// Its report, if one came.
         report: Option<Report>,
     },
+    /// A server said something in an answer that goes on.
+    Heard(ServerId),
+    /// What was held for a request is being let go of while an attempt is out that may never have arrived.
+    HoldReleased(RequestId),
 }
 
 /// What the router wants done.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -12,12 +12,15 @@
 use fawnstream_fleet::{best, cells, cold::younger, homes, kept, limit, patience::stretch, told};
 use std::{cell::OnceCell, collections::BTreeMap, time::Duration};
 
+mod silence;
 mod slow_start;
 
 /// A beginning has one home, and so many more for each reader's part of all requests that it has.
 const HOMES: f64 = 4.0;
 /// How often waiting requests and silent servers are looked at; well under any release or aim.
 const TICK: Span = Span::from_millis(40);
+/// A tick that comes so many times its time late says that this process was held up.
+const HELD_UP: f64 = 2.5;
 /// A request still waiting this long before its client gives up is answered, so that the answer is in time.
 const ANSWER_MARGIN: Span = Span::from_millis(60);
 /// A writer elsewhere must beat the reader's cell by this share of a writer's memory: moves are dear.
@@ -102,6 +105,8 @@
     out_span: Span,
     /// What it may be sent while it is cold.
     allowance: Option<Allowance>,
+    /// Where it was shut out and has said nothing since.
+    trial: Option<silence::Trial>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -203,6 +208,10 @@
     /// When the list last told of a server that drains.
     drained: Option<Time>,
     list_wait: Span,
+    /// When silent servers were last looked for.
+    ticked: Option<Time>,
+    /// When a server of each role was last found silent.
+    cut: [Option<Time>; 3],
     now: Time,
 }
 
@@ -218,7 +227,7 @@
     }
 
     fn usable(&self, now: Time) -> bool {
-        self.listed() && self.out_until <= now
+        self.listed() && self.out_until <= now && self.trial.is_none_or(|trial| trial.probe.is_none())
     }
 
     fn believed(&self, ask: &Request, now: Time, home: bool) -> f64 {
@@ -257,6 +266,8 @@
             born: None,
             drained: None,
             list_wait: LIST_RETRY,
+            ticked: None,
+            cut: [None; 3],
             now: Time(0),
         })
     }
@@ -285,6 +296,8 @@
                 self.met(server, if ok { Met::Answered } else { Met::Unanswered });
                 self.note_report(server, report.filter(|_| ok));
             }
+            Event::Heard(server) => self.heard(server),
+            Event::HoldReleased(request) => self.hold_released(request, out),
         }
     }
 
@@ -695,6 +708,9 @@
         job.attempts += 1;
         job.history.begin(to, self.now.into());
         job.cancelled = false;
+        if let Some(trial) = &mut server.trial {
+            trial.probe = Some(id);
+        }
         job.believed = server.believed(&job.ask, self.now, false);
         server.attempts += 1;
         server.used += job.ask.unit(server.role);
@@ -740,6 +756,7 @@
         pool.answers += 1.0;
         server.fault.judge(secs, (1.0 - SLOW_FROM / ratio.max(SLOW_FROM)).max(0.0));
         server.heard = self.now;
+        server.trial = None;
         server.out_span = FIRST_OUT;
         server.out_until = server.out_until.min(self.now);
         let late = took > job.aim.times(LATE);
@@ -780,6 +797,9 @@
     fn take_back(&mut self, id: RequestId, at: ServerId) -> bool {
         let (Some(job), Some(server)) = (self.jobs.get(&id), self.servers.get_mut(&at)) else { return false };
         server.attempts = server.attempts.saturating_sub(1);
+        if let Some(trial) = server.trial.as_mut().filter(|trial| trial.probe == Some(id)) {
+            trial.probe = None;
+        }
         server.used = (server.used - job.ask.unit(server.role)).max(0.0);
         server.unread = (server.unread - job.unread).max(0.0);
         job.reads
@@ -804,11 +824,13 @@
             }
             Verdict::Ok | Verdict::NoState | Verdict::Error | Verdict::Spoilt | Verdict::Reset => {
                 server.heard = now;
+                server.trial = None;
                 let sound = matches!(verdict, Verdict::Ok | Verdict::NoState);
                 server.fault.judge(secs, f64::from(u8::from(!sound)));
             }
             Verdict::Full => {
                 server.heard = now;
+                server.trial = None;
                 server.out_until = server.out_until.max(now + FULL_PAUSE);
                 self.adapt(id, at, true);
             }
@@ -829,6 +851,7 @@
         let Some(server) = self.servers.get_mut(&at).filter(|s| s.out_until <= self.now) else { return };
         server.out_until = self.now + server.out_span;
         server.out_span = (server.out_span + server.out_span).min(LONGEST_OUT);
+        server.trial = Some(silence::Trial::default());
     }
 
     /// After a read: on to a writer at once, for the state may not stay.
@@ -837,10 +860,22 @@
         let allowed = job.attempts < self.settings.max_attempts && self.now < job.deadline;
         match self.best_writer(job, &self.look()).filter(|_| allowed) {
             Some((writer, _)) => self.send(id, writer, Stage::Writing, out),
+            // No writer may be used now. One more read is dearer than a moment in the line, and less than a refusal.
+            None if allowed && job.attempts + 2 <= self.settings.max_attempts => self.wait_again(id, out),
             None => self.finish(id, out),
         }
     }
 
+    /// Back to the gate; what is held has to go.
+    fn wait_again(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        if std::mem::take(&mut job.held) {
+            out.push(Action::Release(id));
+        }
+        job.stage = Stage::Waiting;
+        self.queue(id);
+    }
+
     /// An attempt failed and the request is still open: on to another writer while the state waits, else back
     /// to the gate, so that retries queue with all others and never storm.
     fn again(&mut self, id: RequestId, at: ServerId, verdict: Verdict, read: bool, out: &mut Vec<Action>) {
@@ -857,12 +892,7 @@
         } else if job.held && !read && !gone {
             self.write(id, out);
         } else {
-            if job.held {
-                job.held = false;
-                out.push(Action::Release(id));
-            }
-            job.stage = Stage::Waiting;
-            self.queue(id);
+            self.wait_again(id, out);
         }
     }
 
@@ -901,12 +931,17 @@
     // Time and reports.
 
     fn tick(&mut self, out: &mut Vec<Action>) {
+        let held_up = self.ticked.replace(self.now).is_some_and(|last| self.now - last > TICK.times(HELD_UP));
         out.push(Action::Timer { timer: TICK_TIMER, after: TICK });
         if !self.jobs.is_empty() {
             let rate = self.popular.rate(self.secs(), (self.born.unwrap_or(self.now) - Time(0)).secs());
             let shares = self.settings.tenants.iter().map(|tenant| tenant.quota_per_s);
             self.weight = limit::weight(rate, shares.sum(), self.settings.routers);
-            self.find_silent(out);
+            // What came while this process stood still has not been read yet.
+            if !held_up {
+                self.find_silent_servers(out);
+                self.find_silent(out);
+            }
             self.turn_away(out);
             self.open_gate(true, out);
         }
--- /dev/null
+++ b/src/logic/silence.rs
@@ -0,0 +1,119 @@
+//! Servers that have fallen silent: found out by all the calls together that they owe an answer to, and given one call at
+//! a time from then on until they say something.
+//!
+//! A connection that has fallen silent reports no error, and neither does a call on it. What a server owes is known here:
+//! calls that are out and have no answer, with nothing heard from it on any connection since. Where it is heard on others
+//! it is well, and a call that later ones overtake was lost on its own connection: `Router::find_silent`.
+
+use super::{Job, LONGEST_OUT, Router, Server, Stage};
+use crate::interface::{Action, Attempt, Effect, RequestId, Role, ServerId, Span, Time};
+use fawnstream_fleet::reach::Met;
+use std::collections::BTreeMap;
+
+/// A server is silent when it has said nothing for this many times what its role's answers usually take to begin ...
+const USUAL_TIMES: f64 = 4.0;
+/// ... and for this long: what a process that is held up, or one slow exchange, may take ...
+const LEAST_SILENCE: Span = Span::from_millis(200);
+/// ... and its calls together are later by this many times that: one alone may be long.
+const LATE_TOGETHER: f64 = 3.0;
+/// Cuts take several servers at once: this long after a peer fell silent one call says enough.
+const CUT_LASTS: Span = Span::from_millis(1_000);
+/// What is usual is known after so many answers of a role.
+const KNOWN: f64 = 10.0;
+
+/// A server that was shut out is tried by one call at a time until it says something.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Trial {
+    /// The call that is out.
+    pub(super) probe: Option<RequestId>,
+}
+
+impl Router {
+    /// A server said something: it is well.
+    pub(super) fn heard(&mut self, at: ServerId) {
+        let now = self.now;
+        let Some(server) = self.servers.get_mut(&at) else { return };
+        server.heard = now;
+        if server.trial.take().is_some() {
+            server.out_until = server.out_until.min(now);
+            self.met(at, Met::Answered);
+        }
+    }
+
+    /// Whether a request may be the one call of a server that is on trial: one that may be repeated, as long as there are
+    /// such. Guards against requests that may run only once, and are lost if the server is still silent.
+    pub(super) fn may_try(&self, server: &Server, job: &Job) -> bool {
+        let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
+        server.trial.is_none() || safe || server.out_until + LONGEST_OUT <= self.now
+    }
+
+    /// How long a server of a role may say nothing while it owes answers; none while nothing is known of its peers.
+    fn longest_silence(&self, role: Role) -> Option<Span> {
+        let pool = &self.pools[role as usize];
+        let usual = Span((pool.usual * USUAL_TIMES) as u64);
+        (pool.answers >= KNOWN).then(|| usual.max(LEAST_SILENCE))
+    }
+
+    /// Whether a server of a role is silent that owes an answer to calls that were sent then.
+    fn is_silent(&self, role: Role, sent: &[Time]) -> bool {
+        let Some(longest) = self.longest_silence(role) else { return false };
+        let Some(oldest) = sent.iter().min() else { return false };
+        if self.now - *oldest <= longest {
+            return false;
+        }
+        let usual = Span(self.pools[role as usize].usual as u64);
+        let late = |sent: &Time| (self.now - *sent - usual).min(longest).secs();
+        let together: f64 = sent.iter().map(late).sum();
+        let cut = self.cut[role as usize].is_some_and(|cut| self.now - cut <= CUT_LASTS);
+        cut || together >= longest.secs() * LATE_TOGETHER
+    }
+
+    /// Shuts out writers that owe answers and have said nothing for too long, and calls off what may be repeated.
+    pub(super) fn find_silent_servers(&mut self, out: &mut Vec<Action>) {
+        let mut owed: BTreeMap<ServerId, Vec<Time>> = Default::default();
+        for job in self.jobs.values().filter(|job| job.stage == Stage::Writing) {
+            let Some((at, server)) = job.at.and_then(|at| Some((at, self.servers.get(&at)?))) else {
+                continue;
+            };
+            if server.heard < job.sent && server.out_until <= self.now {
+                owed.entry(at).or_default().push(job.sent);
+            }
+        }
+        for (at, sent) in owed {
+            if self.is_silent(self.servers[&at].role, &sent) {
+                self.fell_silent(at, out);
+            }
+        }
+    }
+
+    /// What was held for a request is gone though its call is out: whoever takes it next has to read it anew. A writer
+    /// that has said nothing since, for longer than its peers take, is silent.
+    pub(super) fn hold_released(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.held = false;
+        let (sent, writing) = (job.sent, job.stage == Stage::Writing);
+        let Some(at) = job.at.filter(|_| writing) else { return };
+        let Some(server) = self.servers.get(&at).filter(|server| server.heard < sent) else { return };
+        if self.longest_silence(server.role).is_some_and(|longest| self.now - sent > longest) {
+            self.fell_silent(at, out);
+        }
+    }
+
+    /// A server has fallen silent. What it was sent and may be repeated goes elsewhere.
+    fn fell_silent(&mut self, at: ServerId, out: &mut Vec<Action>) {
+        self.shut_out(at, Met::Unanswered);
+        if let Some(server) = self.servers.get(&at) {
+            self.cut[server.role as usize] = Some(self.now);
+        }
+        if !self.settings.may_cancel {
+            return;
+        }
+        let classes = &self.settings.classes;
+        let safe = |job: &Job| classes[job.ask.class.0].effect == Effect::Safe;
+        let there = |job: &Job| job.stage == Stage::Writing && job.at == Some(at);
+        for (id, job) in self.jobs.iter_mut().filter(|(_, job)| there(job) && safe(job) && !job.cancelled) {
+            job.cancelled = true;
+            out.push(Action::Cancel { request: *id, attempt: Attempt(job.attempts - 1) });
+        }
+    }
+}
--- a/src/logic/slow_start.rs
+++ b/src/logic/slow_start.rs
@@ -16,7 +16,9 @@
     /// mass restarts, however many routers there are.
     pub(super) fn candidates<'a>(&'a self, role: Role, job: &Job, look: &Look<'a>) -> Vec<Seen<'a>> {
         let mut all = self.seen(role, look).to_vec();
-        all.retain(|seen| !job.failed.contains(&seen.id) && self.in_scope(seen.id, job));
+        all.retain(|seen| {
+            !job.failed.contains(&seen.id) && self.in_scope(seen.id, job) && self.may_try(seen.server, job)
+        });
         if all.iter().all(|seen| seen.warmth >= 1.0) {
             return all;
         }
