--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -1,10 +1,11 @@
 //! `fawnstream-soak`: plays seeds or plans, prints each broken rule with its request's story, and shrinks what fails.
 
 use clap::Parser;
+use fawnstream_soak::network::{FOUND_OUT, Swallowed};
 use fawnstream_soak::oracle::{MOST_LATE, Violation, judge};
 use fawnstream_soak::plan::{Plan, PlanError};
 use fawnstream_soak::shrink::shrink;
-use fawnstream_soak::story::Happened;
+use fawnstream_soak::story::{Happened, Seen};
 use fawnstream_soak::world::{WorldError, play};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -29,7 +30,7 @@
     /// How many seeds, one after the other
     #[arg(long, default_value_t = 1)]
     seeds: u64,
-    /// Plays this plan in place of a seed's
+    /// Plays this plan in place of a seed's; with --seeds again and again, with its seed and the ones after it
     #[arg(long, value_name = "FILE")]
     plan: Option<PathBuf>,
     /// Begins no further play after this time
@@ -71,9 +72,44 @@
     violations: Vec<Violation>,
     requests: usize,
     outcomes: BTreeMap<String, usize>,
+    silences: Silences,
     lateness: Duration,
 }
 
+/// What silences cost.
+#[derive(Clone, Copy, Debug, Default)]
+struct Silences {
+    /// Calls that were sent on silent connections.
+    swallowed: usize,
+    /// The most that went to one server once it should have been found out.
+    after_found_out: usize,
+    /// Holds that were released while a call was out.
+    overdue: u64,
+    /// Those of them whose call was answered.
+    answered: u64,
+}
+
+impl Silences {
+    fn of(seen: &Seen) -> Self {
+        let late = |calls: &Vec<Swallowed>| calls.iter().filter(|call| call.after > FOUND_OUT).count();
+        let total =
+            |name: &str| seen.rests.iter().filter_map(|rest| rest.metrics.get(name)).sum::<f64>() as u64;
+        Silences {
+            swallowed: seen.swallowed.values().map(Vec::len).sum(),
+            after_found_out: seen.swallowed.values().map(late).max().unwrap_or(0),
+            overdue: total("router_holds_overdue"),
+            answered: total("router_holds_overdue_answered"),
+        }
+    }
+
+    fn add(&mut self, other: Silences) {
+        self.swallowed += other.swallowed;
+        self.after_found_out = self.after_found_out.max(other.after_found_out);
+        self.overdue += other.overdue;
+        self.answered += other.answered;
+    }
+}
+
 async fn one(plan: Plan, arguments: &Arguments, keep: bool) -> Result<Played, SoakError> {
     std::fs::create_dir_all(&arguments.out)?;
     let folder =
@@ -93,7 +129,8 @@
             *outcomes.entry(format!("{outcome:?}")).or_default() += 1;
         }
     }
-    Ok(Played { plan, violations, requests: seen.requests.len(), outcomes, lateness: seen.lateness })
+    let (requests, silences, lateness) = (seen.requests.len(), Silences::of(&seen), seen.lateness);
+    Ok(Played { plan, violations, requests, outcomes, silences, lateness })
 }
 
 fn told(violations: &[Violation], most: usize) -> String {
@@ -138,7 +175,9 @@
 
 fn plans(arguments: &Arguments) -> Result<Vec<Plan>, SoakError> {
     if let Some(path) = &arguments.plan {
-        return Ok(vec![Plan::read(path)?]);
+        let plan = Plan::read(path)?;
+        let seeds = plan.seed..plan.seed.saturating_add(arguments.seeds);
+        return Ok(seeds.map(|seed| Plan { seed, ..plan.clone() }).collect());
     }
     let (first, count) = arguments.replay.map_or((arguments.seed, arguments.seeds), |seed| (seed, 1));
     Ok((first..first.saturating_add(count)).map(Plan::draw).collect())
@@ -164,6 +203,7 @@
     let (mut again, mut void) = (Vec::new(), 0);
     let mut all = BTreeMap::new();
     let mut outcomes: BTreeMap<String, usize> = BTreeMap::new();
+    let mut silences = Silences::default();
     loop {
         let (played, alone) = match plays.join_next().await {
             Some(Ok(played)) => (played?, false),
@@ -183,6 +223,7 @@
             continue;
         }
         (done, requests, lateness) = (done + 1, requests + played.requests, lateness.max(played.lateness));
+        silences.add(played.silences);
         for (outcome, count) in &played.outcomes {
             *outcomes.entry(outcome.clone()).or_default() += count;
         }
@@ -197,6 +238,15 @@
         shrunk(played, &arguments).await?;
     }
     let all: BTreeMap<&str, usize> = all;
+    println!("outcomes: {outcomes:?}");
+    println!(
+        "silences: {} calls swallowed, {} at most at one server after its first {} ms; {} holds released under a call, {} of the calls answered",
+        silences.swallowed,
+        silences.after_found_out,
+        FOUND_OUT.as_millis(),
+        silences.overdue,
+        silences.answered
+    );
     println!(
         "{done} plays, {void} too late to judge, {requests} requests, the harness late by {} ms at most, {} failed {all:?}",
         lateness.as_millis(),
--- a/soak/src/network.rs
+++ b/soak/src/network.rs
@@ -22,6 +22,9 @@
 /// What a silence says in parts of a thousand.
 const WHOLE: u32 = 1_000;
 
+/// A server that fell silent has been found out after this.
+pub const FOUND_OUT: Duration = Duration::from_millis(300);
+
 /// A silence that goes on.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -9,7 +9,7 @@
 use fawnstream_fleet::chance::{blend, fraction, mix};
 use fawnstream_fleet::reach::{Met, Reach, View};
 use fawnstream_fleet::{Allowance, Cell, Cold, Fault, Kept, Limit, Popular, Purse, Quota, Told};
-use fawnstream_fleet::{best, cells, cold::younger, homes, kept, limit, patience::stretch, told};
+use fawnstream_fleet::{best, cells, cold::younger, homes, kept, limit, told};
 use std::{cell::OnceCell, collections::BTreeMap, time::Duration};
 
 mod silence;
@@ -47,21 +47,12 @@
 const PATIENCE: f64 = 12.0;
 /// ... but never before this share of the aim has passed.
 const PATIENCE_AIM: f64 = 2.0;
-/// So many later requests of ours that a server answered first say that it lost one: it takes them in turn.
-const OVERTAKEN: u32 = 3;
-/// Reads out at one silent reader share the patience, so many at most.
-const SURE: u32 = 2;
-/// Patience doubles for each part of the peers that is out already; this is how many parts make the whole.
-const DOUBT: f64 = 5.0;
 /// Weight of a new sample in the usual times; about the last ten samples count.
 const EWMA: f64 = 0.1;
 /// Slowness below this multiple of the role's usual is no fault.
 const SLOW_FROM: f64 = 1.6;
 /// How heavily a fault record weighs against match and room, each in [0, 1].
 const FAULT_WEIGHT: f64 = 1.5;
-/// First exclusion of a silent or unreachable server; doubles up to the longest while it stays so.
-const FIRST_OUT: Span = Span::from_millis(1_500);
-const LONGEST_OUT: Span = Span::from_millis(6_000);
 /// How heavily a reader's load weighs against match: what is read anew for a shorter line is read by all.
 const LOAD_WEIGHT: f64 = 0.5;
 /// The same for what our reads still have to read there, in parts of the prompt: no report knows of it yet.
@@ -219,7 +210,13 @@
     fn new(member: &Member, kind: &Kind) -> Self {
         let told = kind.memory_tokens.filter(|m| *m > 0.0).unwrap_or(UNTOLD_MEMORY);
         let memory = if kind.role == Role::Mixed { told * MIXED_ROOM } else { told };
-        Server { member: member.clone(), role: kind.role, memory, out_span: FIRST_OUT, ..Server::default() }
+        Server {
+            member: member.clone(),
+            role: kind.role,
+            memory,
+            out_span: silence::FIRST_OUT,
+            ..Server::default()
+        }
     }
 
     fn listed(&self) -> bool {
@@ -757,7 +754,7 @@
         server.fault.judge(secs, (1.0 - SLOW_FROM / ratio.max(SLOW_FROM)).max(0.0));
         server.heard = self.now;
         server.trial = None;
-        server.out_span = FIRST_OUT;
+        server.out_span = silence::FIRST_OUT;
         server.out_until = server.out_until.min(self.now);
         let late = took > job.aim.times(LATE);
         let sent = job.sent;
@@ -846,26 +843,30 @@
         }
     }
 
-    fn shut_out(&mut self, at: ServerId, how: Met) {
-        self.met(at, how);
-        let Some(server) = self.servers.get_mut(&at).filter(|s| s.out_until <= self.now) else { return };
-        server.out_until = self.now + server.out_span;
-        server.out_span = (server.out_span + server.out_span).min(LONGEST_OUT);
-        server.trial = Some(silence::Trial::default());
-    }
-
     /// After a read: on to a writer at once, for the state may not stay.
     fn write(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let job = &self.jobs[&id];
         let allowed = job.attempts < self.settings.max_attempts && self.now < job.deadline;
         match self.best_writer(job, &self.look()).filter(|_| allowed) {
             Some((writer, _)) => self.send(id, writer, Stage::Writing, out),
-            // No writer may be used now. One more read is dearer than a moment in the line, and less than a refusal.
-            None if allowed && job.attempts + 2 <= self.settings.max_attempts => self.wait_again(id, out),
+            // No writer may be used now. One more read is dearer than a moment in the line, and less than a
+            // refusal.
+            None if allowed && self.may_wait_for_writer(job) => self.wait_again(id, out),
             None => self.finish(id, out),
         }
     }
 
+    /// Whether a request that was read may be read again when a writer can be used: it was tried by none that
+    /// may have run it, and there is one that it was not sent to.
+    fn may_wait_for_writer(&self, job: &Job) -> bool {
+        let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
+        let left = job.attempts + 2 <= self.settings.max_attempts;
+        let untried = |(id, server): (&ServerId, &Server)| {
+            server.role != Role::Reader && server.listed() && !job.failed.contains(id)
+        };
+        left && (safe || job.history.ran().is_none()) && self.servers.iter().any(untried)
+    }
+
     /// Back to the gate; what is held has to go.
     fn wait_again(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
@@ -947,43 +948,6 @@
         }
     }
 
-    /// Silence: a server owes an answer for longer than its peers take, and said nothing since. It is shut
-    /// out, and what may be repeated is called off. One that still answers others is waited for: a cancel
-    /// stops no running work, so trying elsewhere would only double the load; but what several later requests
-    /// have overtaken there is lost, and called off too. Guards against hung, dead or
-    /// cut-off servers; a lone very long read can look like silence, which costs that read.
-    fn find_silent(&mut self, out: &mut Vec<Action>) {
-        let mut silent = Vec::new();
-        // Each fifth of the peers that is out doubles the patience: what many show at once is load.
-        let peers = self.servers.values().filter(|server| server.listed());
-        let doubt = stretch(DOUBT, peers.map(|s| (s.role as usize, s.out_until > self.now)));
-        for (id, job) in &mut self.jobs {
-            let out_there = matches!(job.stage, Stage::Reading | Stage::Writing);
-            let Some(at) = job.at.filter(|_| out_there) else { continue };
-            let Some(server) = self.servers.get(&at) else { continue };
-            let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
-            let lost = job.overtaken >= OVERTAKEN && self.now - job.sent > usual;
-            if server.heard >= job.sent && !lost {
-                continue;
-            }
-            // Several silent reads say more than one; streams at a writer say nothing of it.
-            let silent_reads = if server.role == Role::Reader { server.attempts.clamp(1, SURE) } else { 1 };
-            let patience = job.patience.times(doubt[server.role as usize] / f64::from(silent_reads));
-            if self.now - job.sent <= patience && !lost {
-                continue;
-            }
-            if server.heard < job.sent {
-                silent.push(at);
-            }
-            let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
-            if (safe || job.stage == Stage::Reading) && self.settings.may_cancel && !job.cancelled {
-                job.cancelled = true;
-                out.push(Action::Cancel { request: *id, attempt: Attempt(job.attempts - 1) });
-            }
-        }
-        silent.into_iter().for_each(|at| self.shut_out(at, Met::Unanswered));
-    }
-
     /// Refuses waiting requests that can no longer be in time; early, so that nothing is spent on them.
     fn turn_away(&mut self, out: &mut Vec<Action>) {
         let usual = Span((self.pools[0].usual + self.pools[1].usual) as u64);
--- a/src/logic/silence.rs
+++ b/src/logic/silence.rs
@@ -1,16 +1,19 @@
-//! Servers that have fallen silent: found out by all the calls together that they owe an answer to, and given one call at
-//! a time from then on until they say something.
+//! Servers that have fallen silent: found out by all the calls together that they owe an answer to, and given
+//! one call at a time from then on until they say something.
 //!
-//! A connection that has fallen silent reports no error, and neither does a call on it. What a server owes is known here:
-//! calls that are out and have no answer, with nothing heard from it on any connection since. Where it is heard on others
-//! it is well, and a call that later ones overtake was lost on its own connection: `Router::find_silent`.
+//! A connection that has fallen silent reports no error, and neither does a call on it. What a server owes is
+//! known here: calls that are out and have no answer, with nothing heard from it on any connection since.
+//! Where it is heard on others it is well, and a call that later ones overtake was lost on its own
+//! connection: `Router::find_silent`.
 
-use super::{Job, LONGEST_OUT, Router, Server, Stage};
+use super::{Job, PATIENCE, Router, Server, Stage};
 use crate::interface::{Action, Attempt, Effect, RequestId, Role, ServerId, Span, Time};
+use fawnstream_fleet::patience::stretch;
 use fawnstream_fleet::reach::Met;
 use std::collections::BTreeMap;
 
-/// A server is silent when it has said nothing for this many times what its role's answers usually take to begin ...
+/// A server is silent when it has said nothing for this many times what its role's answers usually take to
+/// begin ...
 const USUAL_TIMES: f64 = 4.0;
 /// ... and for this long: what a process that is held up, or one slow exchange, may take ...
 const LEAST_SILENCE: Span = Span::from_millis(200);
@@ -21,6 +24,16 @@
 /// What is usual is known after so many answers of a role.
 const KNOWN: f64 = 10.0;
 
+/// So many later requests of ours that a server answered first say that it lost one: it takes them in turn.
+const OVERTAKEN: u32 = 3;
+/// Reads out at one silent reader share the patience, so many at most.
+const SURE: u32 = 2;
+/// Patience doubles for each part of the peers that is out already; this is how many parts make the whole.
+const DOUBT: f64 = 5.0;
+/// First exclusion of a silent or unreachable server; doubles up to the longest while it stays so.
+pub(super) const FIRST_OUT: Span = Span::from_millis(1_500);
+const LONGEST_OUT: Span = Span::from_millis(6_000);
+
 /// A server that was shut out is tried by one call at a time until it says something.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Trial {
@@ -40,14 +53,16 @@
         }
     }
 
-    /// Whether a request may be the one call of a server that is on trial: one that may be repeated, as long as there are
-    /// such. Guards against requests that may run only once, and are lost if the server is still silent.
+    /// Whether a request may be the one call of a server that is on trial: one that may be repeated, as long
+    /// as there are such. Guards against requests that may run only once, and are lost if the server is still
+    /// silent.
     pub(super) fn may_try(&self, server: &Server, job: &Job) -> bool {
         let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
         server.trial.is_none() || safe || server.out_until + LONGEST_OUT <= self.now
     }
 
-    /// How long a server of a role may say nothing while it owes answers; none while nothing is known of its peers.
+    /// How long a server of a role may say nothing while it owes answers; none while nothing is known of its
+    /// peers.
     fn longest_silence(&self, role: Role) -> Option<Span> {
         let pool = &self.pools[role as usize];
         let usual = Span((pool.usual * USUAL_TIMES) as u64);
@@ -68,7 +83,8 @@
         cut || together >= longest.secs() * LATE_TOGETHER
     }
 
-    /// Shuts out writers that owe answers and have said nothing for too long, and calls off what may be repeated.
+    /// Shuts out writers that owe answers and have said nothing for too long, and calls off what may be
+    /// repeated.
     pub(super) fn find_silent_servers(&mut self, out: &mut Vec<Action>) {
         let mut owed: BTreeMap<ServerId, Vec<Time>> = Default::default();
         for job in self.jobs.values().filter(|job| job.stage == Stage::Writing) {
@@ -86,8 +102,8 @@
         }
     }
 
-    /// What was held for a request is gone though its call is out: whoever takes it next has to read it anew. A writer
-    /// that has said nothing since, for longer than its peers take, is silent.
+    /// What was held for a request is gone though its call is out: whoever takes it next has to read it anew.
+    /// A writer that has said nothing since, for longer than its peers take, is silent.
     pub(super) fn hold_released(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(job) = self.jobs.get_mut(&id) else { return };
         job.held = false;
@@ -116,4 +132,51 @@
             out.push(Action::Cancel { request: *id, attempt: Attempt(job.attempts - 1) });
         }
     }
+
+    /// Silence: a server owes an answer for longer than its peers take, and said nothing since. It is shut
+    /// out, and what may be repeated is called off. One that still answers others is waited for: a cancel
+    /// stops no running work, so trying elsewhere would only double the load; but what several later requests
+    /// have overtaken there is lost, and called off too. Guards against hung, dead or
+    /// cut-off servers; a lone very long read can look like silence, which costs that read.
+    pub(super) fn find_silent(&mut self, out: &mut Vec<Action>) {
+        let mut silent = Vec::new();
+        // Each fifth of the peers that is out doubles the patience: what many show at once is load.
+        let peers = self.servers.values().filter(|server| server.listed());
+        let doubt = stretch(DOUBT, peers.map(|s| (s.role as usize, s.out_until > self.now)));
+        for (id, job) in &mut self.jobs {
+            let out_there = matches!(job.stage, Stage::Reading | Stage::Writing);
+            let Some(at) = job.at.filter(|_| out_there) else { continue };
+            let Some(server) = self.servers.get(&at) else { continue };
+            let usual = Span((self.pools[server.role as usize].usual * PATIENCE) as u64);
+            let lost = job.overtaken >= OVERTAKEN && self.now - job.sent > usual;
+            if server.heard >= job.sent && !lost {
+                continue;
+            }
+            // Several silent reads say more than one; streams at a writer say nothing of it.
+            let silent_reads = if server.role == Role::Reader { server.attempts.clamp(1, SURE) } else { 1 };
+            let patience = job.patience.times(doubt[server.role as usize] / f64::from(silent_reads));
+            if self.now - job.sent <= patience && !lost {
+                continue;
+            }
+            if server.heard < job.sent {
+                silent.push(at);
+            }
+            let safe = self.settings.classes[job.ask.class.0].effect == Effect::Safe;
+            if (safe || job.stage == Stage::Reading) && self.settings.may_cancel && !job.cancelled {
+                job.cancelled = true;
+                out.push(Action::Cancel { request: *id, attempt: Attempt(job.attempts - 1) });
+            }
+        }
+        silent.into_iter().for_each(|at| self.shut_out(at, Met::Unanswered));
+    }
+
+    /// A server gets nothing for a while, longer each time, and then one call at a time until it says
+    /// something.
+    pub(super) fn shut_out(&mut self, at: ServerId, how: Met) {
+        self.met(at, how);
+        let Some(server) = self.servers.get_mut(&at).filter(|s| s.out_until <= self.now) else { return };
+        server.out_until = self.now + server.out_span;
+        server.out_span = (server.out_span + server.out_span).min(LONGEST_OUT);
+        server.trial = Some(Trial::default());
+    }
 }
