--- a/src/logic.rs
+++ b/src/logic.rs
@@ -98,6 +98,8 @@
     allowance: Option<Allowance>,
     /// Where it was shut out and has said nothing since.
     trial: Option<silence::Trial>,
+    /// Where a peer fell silent and it has said nothing since.
+    unproven: Option<silence::Unproven>,
 }
 
 #[derive(Clone, Copy, Default, PartialEq)]
@@ -224,7 +226,16 @@
     }
 
     fn usable(&self, now: Time) -> bool {
-        self.listed() && self.out_until <= now && self.trial.is_none_or(|trial| trial.probe.is_none())
+        self.listed()
+            && self.out_until <= now
+            && self.trial.is_none_or(|trial| trial.probe.is_none())
+            && self.unproven.is_none_or(|unproven| unproven.takes_calls(now))
+    }
+
+    /// It said something.
+    fn note_heard(&mut self, now: Time) {
+        self.heard = now;
+        (self.trial, self.unproven) = (None, None);
     }
 
     fn believed(&self, ask: &Request, now: Time, home: bool) -> f64 {
@@ -708,6 +719,9 @@
         if let Some(trial) = &mut server.trial {
             trial.probe = Some(id);
         }
+        if let Some(unproven) = &mut server.unproven {
+            unproven.note_call();
+        }
         job.believed = server.believed(&job.ask, self.now, false);
         server.attempts += 1;
         server.used += job.ask.unit(server.role);
@@ -752,8 +766,7 @@
         pool.usual = blend(pool.usual, took.0 as f64, EWMA);
         pool.answers += 1.0;
         server.fault.judge(secs, (1.0 - SLOW_FROM / ratio.max(SLOW_FROM)).max(0.0));
-        server.heard = self.now;
-        server.trial = None;
+        server.note_heard(self.now);
         server.out_span = silence::FIRST_OUT;
         server.out_until = server.out_until.min(self.now);
         let late = took > job.aim.times(LATE);
@@ -820,14 +833,12 @@
                 self.answered(id, at);
             }
             Verdict::Ok | Verdict::NoState | Verdict::Error | Verdict::Spoilt | Verdict::Reset => {
-                server.heard = now;
-                server.trial = None;
+                server.note_heard(now);
                 let sound = matches!(verdict, Verdict::Ok | Verdict::NoState);
                 server.fault.judge(secs, f64::from(u8::from(!sound)));
             }
             Verdict::Full => {
-                server.heard = now;
-                server.trial = None;
+                server.note_heard(now);
                 server.out_until = server.out_until.max(now + FULL_PAUSE);
                 self.adapt(id, at, true);
             }
--- a/src/logic/silence.rs
+++ b/src/logic/silence.rs
@@ -19,8 +19,12 @@
 const LEAST_SILENCE: Span = Span::from_millis(200);
 /// ... and its calls together are later by this many times that: one alone may be long.
 const LATE_TOGETHER: f64 = 3.0;
-/// Cuts take several servers at once: this long after a peer fell silent one call says enough.
+/// Cuts take several servers at once: this long after a peer fell silent one call says enough, and in this
+/// part of the time. What a silent server was sent goes to its peers, so one that is silent too is sent much.
 const CUT_LASTS: Span = Span::from_millis(1_000);
+const CUT_PART: f64 = 0.5;
+/// Calls that a peer may be sent in that time before it says something.
+const UNPROVEN_CALLS: u32 = 6;
 /// What is usual is known after so many answers of a role.
 const KNOWN: f64 = 10.0;
 
@@ -41,13 +45,32 @@
     pub(super) probe: Option<RequestId>,
 }
 
+/// A server whose peer fell silent, and that has said nothing since, is given few calls until it does: what
+/// the silent one was sent goes to its peers, and the cut may have taken them too.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Unproven {
+    until: Time,
+    calls_left: u32,
+}
+
+impl Unproven {
+    pub(super) fn takes_calls(&self, now: Time) -> bool {
+        self.calls_left > 0 || self.until <= now
+    }
+
+    pub(super) fn note_call(&mut self) {
+        self.calls_left = self.calls_left.saturating_sub(1);
+    }
+}
+
 impl Router {
     /// A server said something: it is well.
     pub(super) fn heard(&mut self, at: ServerId) {
         let now = self.now;
         let Some(server) = self.servers.get_mut(&at) else { return };
-        server.heard = now;
-        if server.trial.take().is_some() {
+        let was_shut_out = server.trial.is_some();
+        server.note_heard(now);
+        if was_shut_out {
             server.out_until = server.out_until.min(now);
             self.met(at, Met::Answered);
         }
@@ -72,15 +95,14 @@
     /// Whether a server of a role is silent that owes an answer to calls that were sent then.
     fn is_silent(&self, role: Role, sent: &[Time]) -> bool {
         let Some(longest) = self.longest_silence(role) else { return false };
-        let Some(oldest) = sent.iter().min() else { return false };
-        if self.now - *oldest <= longest {
-            return false;
+        let Some(oldest) = sent.iter().min().map(|sent| self.now - *sent) else { return false };
+        if self.cut[role as usize].is_some_and(|cut| self.now - cut <= CUT_LASTS) {
+            return oldest > longest.times(CUT_PART);
         }
         let usual = Span(self.pools[role as usize].usual as u64);
         let late = |sent: &Time| (self.now - *sent - usual).min(longest).secs();
         let together: f64 = sent.iter().map(late).sum();
-        let cut = self.cut[role as usize].is_some_and(|cut| self.now - cut <= CUT_LASTS);
-        cut || together >= longest.secs() * LATE_TOGETHER
+        oldest > longest && together >= longest.secs() * LATE_TOGETHER
     }
 
     /// Shuts out writers that owe answers and have said nothing for too long, and calls off what may be
@@ -95,10 +117,15 @@
                 owed.entry(at).or_default().push(job.sent);
             }
         }
-        for (at, sent) in owed {
-            if self.is_silent(self.servers[&at].role, &sent) {
-                self.fell_silent(at, out);
-            }
+        // Twice, for one that is found says something of those that were looked at before it.
+        for _ in 0..2 {
+            owed.retain(|at, sent| {
+                let silent = self.is_silent(self.servers[at].role, sent);
+                if silent {
+                    self.fell_silent(*at, out);
+                }
+                !silent
+            });
         }
     }
 
@@ -118,8 +145,14 @@
     /// A server has fallen silent. What it was sent and may be repeated goes elsewhere.
     fn fell_silent(&mut self, at: ServerId, out: &mut Vec<Action>) {
         self.shut_out(at, Met::Unanswered);
-        if let Some(server) = self.servers.get(&at) {
-            self.cut[server.role as usize] = Some(self.now);
+        if let Some(role) = self.servers.get(&at).map(|server| server.role) {
+            self.cut[role as usize] = Some(self.now);
+            let unproven = Unproven { until: self.now + CUT_LASTS, calls_left: UNPROVEN_CALLS };
+            for peer in self.servers.values_mut().filter(|peer| peer.role == role) {
+                if peer.unproven.is_none_or(|known| known.until <= self.now) {
+                    peer.unproven = Some(unproven);
+                }
+            }
         }
         if !self.settings.may_cancel {
             return;
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -195,3 +195,25 @@
     let read_again = |act: &Action| matches!(act, Action::Send { request: RequestId(101), .. });
     assert!(acts.iter().any(read_again), "{acts:?}");
 }
+
+/// What a silent writer was sent goes to its peers: one that has said nothing since gets few calls until it does.
+#[test]
+fn a_peer_of_a_silent_writer_gets_few_calls_until_it_says_something() {
+    let mut bench = bench(Effect::Safe);
+    (100..115).for_each(|id| assert!(read(&mut bench, id).is_some()));
+    bench.wait(140);
+    bench.hear(Event::Heard(ServerId(12)));
+    bench.hear(Event::Heard(ServerId(13)));
+    bench.wait(100);
+    assert_eq!(bench.router.avoided(Time(bench.now)), 1);
+    let at_once = |bench: &mut Bench, first: u64| {
+        let writers: Vec<u64> = (first..first + 60).filter_map(|id| read(bench, id)).collect();
+        writers.iter().filter(|writer| **writer == 12).count()
+    };
+    let few = at_once(&mut bench, 1_000);
+    assert!((1..=6).contains(&few), "{few}");
+    bench.hear(Event::Heard(ServerId(12)));
+    bench.hear(Event::Heard(ServerId(13)));
+    let more = at_once(&mut bench, 2_000);
+    assert!(more > 6, "{more}");
+}
