Take no client's leaving for a sign of life of its server, and no stray rejection for proof of arrival

Found by reading the change once more: the end of a stream whose client left was told as Ok, and so a silent writer counted as heard. Test: the decisions', seen failing without the line. A rejection within 20 ms of the answer before it on its connection proved nothing of the request (as a refusal), but restarted the clock of what is held; no test of its own.

--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -434,6 +434,7 @@
     let body = small(&mut answer).await;
     // An answer that does not come to its end leaves the attempt out until its connection is closed here.
     let evidence = if body.is_some() && !stray { Evidence::Server } else { Evidence::Router };
+    let delivery = if stray { Delivery::Written } else { Delivery::Arrived };
     match body {
         Some(_) if !lane.ended() => pool.give(lane),
         _ => {
@@ -452,7 +453,7 @@
         kept,
         report: told,
         unusable: reason == "unusable",
-        ..Ended::new(verdict, evidence, Delivery::Arrived, reason)
+        ..Ended::new(verdict, evidence, delivery, reason)
     })
 }
 
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -822,7 +822,10 @@
         // A client that leaves soon says nothing of its server.
         let soon = job.stage == Stage::Over && self.now - job.sent <= job.patience;
         let (now, silent) = (self.now, server.heard < job.sent);
+        let client_left = job.stage == Stage::Over;
         match verdict {
+            // Its client left in the middle of its answer and it was ended here: the server said nothing.
+            Verdict::Ok if client_left => {}
             Verdict::Read => {
                 // Fewer kept tokens than believed: the server forgot, so all that is believed of it goes.
                 // Guards against flushes and evictions; could cost matches where a single text was evicted.
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -245,3 +245,26 @@
     let (few, more) = (calls_at_once(false), calls_at_once(true));
     assert!((1..=6).contains(&few) && more > 6, "{few} and {more}");
 }
+
+/// A stream that ends since its client left is no sign of life of its server.
+#[test]
+fn a_client_that_leaves_a_silent_writers_stream_does_not_speak_for_it() {
+    let mut bench = bench(Effect::Safe);
+    // Streams at all three, and a few calls that the silent one owes an answer to.
+    let mut streams = Vec::new();
+    for id in 100..160 {
+        if let Some(writer) = read(&mut bench, id) {
+            bench.first(id, 1);
+            streams.extend((writer == 11).then_some(id));
+        }
+    }
+    let owed = (200..215).filter(|id| read(&mut bench, *id) == Some(11)).count();
+    assert!(streams.len() > 13 && owed >= 3, "{streams:?}, {owed} calls");
+    for left in streams.into_iter().take(13) {
+        [12, 13].into_iter().for_each(|peer| drop(bench.hear(Event::Heard(ServerId(peer)))));
+        bench.hear(Event::Gone(RequestId(left)));
+        bench.end(left, 1, Verdict::Ok);
+        bench.wait(20);
+    }
+    assert_eq!(bench.router.avoided(Time(bench.now)), 1);
+}
