--- a/src/logic.rs
+++ b/src/logic.rs
@@ -824,8 +824,9 @@
         let (now, silent) = (self.now, server.heard < job.sent);
         let client_left = job.stage == Stage::Over;
         match verdict {
-            // Its client left in the middle of its answer and it was ended here: the server said nothing.
-            Verdict::Ok if client_left => {}
+            // Its client left in the middle of its answer and it was ended here: the server did well until
+            // then, and said nothing now.
+            Verdict::Ok if client_left => server.fault.judge(secs, 0.0),
             Verdict::Read => {
                 // Fewer kept tokens than believed: the server forgot, so all that is believed of it goes.
                 // Guards against flushes and evictions; could cost matches where a single text was evicted.
