--- a/src/logic/silence.rs
+++ b/src/logic/silence.rs
@@ -19,10 +19,8 @@
 const LEAST_SILENCE: Span = Span::from_millis(200);
 /// ... and its calls together are later by this many times that: one alone may be long.
 const LATE_TOGETHER: f64 = 3.0;
-/// Cuts take several servers at once: this long after a peer fell silent one call says enough, and in this
-/// part of the time. What a silent server was sent goes to its peers, so one that is silent too is sent much.
+/// Cuts take several servers at once: this long after a peer fell silent one call says enough.
 const CUT_LASTS: Span = Span::from_millis(1_000);
-const CUT_PART: f64 = 0.5;
 /// Calls that a peer may be sent in that time before it says something.
 const UNPROVEN_CALLS: u32 = 6;
 /// What is usual is known after so many answers of a role.
@@ -96,13 +94,11 @@
     fn is_silent(&self, role: Role, sent: &[Time]) -> bool {
         let Some(longest) = self.longest_silence(role) else { return false };
         let Some(oldest) = sent.iter().min().map(|sent| self.now - *sent) else { return false };
-        if self.cut[role as usize].is_some_and(|cut| self.now - cut <= CUT_LASTS) {
-            return oldest > longest.times(CUT_PART);
-        }
+        let cut = self.cut[role as usize].is_some_and(|cut| self.now - cut <= CUT_LASTS);
         let usual = Span(self.pools[role as usize].usual as u64);
         let late = |sent: &Time| (self.now - *sent - usual).min(longest).secs();
         let together: f64 = sent.iter().map(late).sum();
-        oldest > longest && together >= longest.secs() * LATE_TOGETHER
+        oldest > longest && (cut || together >= longest.secs() * LATE_TOGETHER)
     }
 
     /// Shuts out writers that owe answers and have said nothing for too long, and calls off what may be
