--- a/soak/src/network.rs
+++ b/soak/src/network.rs
@@ -113,6 +113,7 @@
             network: self.clone(),
             stuck: AtomicBool::new(false),
             cut: watch::Sender::new(false),
+            passed_on: watch::Sender::new(0),
             sent: Mutex::default(),
         })
     }
@@ -127,6 +128,8 @@
     /// It fell silent for ever.
     stuck: AtomicBool,
     cut: watch::Sender<bool>,
+    /// Bytes that were passed on to the router.
+    passed_on: watch::Sender<u64>,
     /// When the router sent the request that is under way.
     sent: Mutex<Option<Sent>>,
 }
@@ -146,6 +149,16 @@
         self.cut.send_replace(true);
     }
 
+    /// Bytes that were passed on to the router so far.
+    pub fn passed_on(&self) -> u64 {
+        *self.passed_on.borrow()
+    }
+
+    /// Returns when so many bytes were passed on to the router.
+    pub async fn has_passed_on(&self, bytes: u64) {
+        let _ = self.passed_on.subscribe().wait_for(|passed_on| *passed_on >= bytes).await;
+    }
+
     /// When the router sent what the server takes now.
     pub fn take_sent(&self) -> Option<Sent> {
         locked(&self.sent).take()
@@ -270,6 +283,7 @@
                 let _ = router.shutdown().await;
                 return;
             }
+            self.passed_on.send_modify(|passed_on| *passed_on += size as u64);
         }
     }
 }
--- a/soak/src/worker.rs
+++ b/soak/src/worker.rs
@@ -309,10 +309,14 @@
         };
         locked(&self.holds).insert(id, (self.number, Instant::now()));
         self.book.note(id, Happened::Held(self.number));
-        // It is out until its answer can reach the router.
-        attempt.connection.passes().await;
+        // It is out until its answer has gone to the router: a silence may begin in between.
+        let passed_on = attempt.connection.passed_on() + answer.len() as u64;
+        if writes.write_all(answer.as_bytes()).await.is_err() {
+            return false;
+        }
+        attempt.connection.has_passed_on(passed_on).await;
         attempt.over(Ran::Yes);
-        writes.write_all(answer.as_bytes()).await.is_ok()
+        true
     }
 
     async fn stream(
