--- a/scale/src/process.rs
+++ b/scale/src/process.rs
@@ -115,9 +115,17 @@
     let _ = child.wait();
 }
 
+/// A line of the log without the time that it begins with; a panic's has none.
+fn without_time(line: String) -> String {
+    match line.split_once(' ') {
+        Some((time, rest)) if time.starts_with("time=") => rest.to_owned(),
+        _ => line,
+    }
+}
+
 /// Reads the log to its end: nobody else does, and a full pipe would hold the router up.
 fn follow(log: impl std::io::BufRead, tell: &Sender<Heard>, board: &Board) {
-    for line in log.lines().map_while(Result::ok) {
+    for line in log.lines().map_while(Result::ok).map(without_time) {
         if let Some(server) = line.strip_prefix("list drains server=") {
             board.seen(server);
             continue;
