--- a/router/tests/silent_connections.rs
+++ b/router/tests/silent_connections.rs
@@ -1,45 +1,15 @@
 //! Connections to servers that fall silent and stay open: what is held is let go of in time, calls stop going there, and
 //! slow servers that are well lose nothing. Real router processes, by the fault soak's network and checks.
 
+mod plans;
+
 use fawnstream_soak::network::FOUND_OUT;
-use fawnstream_soak::oracle::{MOST_LATE, judge};
-use fawnstream_soak::plan::Plan;
 use fawnstream_soak::story::{Happened, Outcome, Seen};
-use fawnstream_soak::world::play;
-use std::path::Path;
+use plans::keeps_all_rules;
 
-/// A play on a machine that was too busy is played again, so often at most.
-const TRIES: usize = 3;
 /// Calls that may go to each silent server once it has been found out.
 const MOST_AFTER: usize = 10;
 
-fn plan(name: &str) -> Plan {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("../soak/plans");
-    Plan::read(&folder.join(name).with_extension("toml")).unwrap()
-}
-
-/// Plays a plan; what was seen, and the rules that were broken.
-async fn played(plan: &Plan) -> (Seen, Vec<String>) {
-    let program = Path::new(env!("CARGO_BIN_EXE_fawnstream"));
-    let mut seen = Seen::default();
-    for _ in 0..TRIES {
-        let folder = tempfile::tempdir().unwrap();
-        seen = play(plan, program, folder.path()).await.unwrap();
-        if seen.lateness <= MOST_LATE {
-            break;
-        }
-    }
-    assert!(seen.requests.len() > 200, "{} requests", seen.requests.len());
-    let told = |violations: Vec<fawnstream_soak::oracle::Violation>| {
-        let line = |v: &fawnstream_soak::oracle::Violation| {
-            format!("{}: {}\n{}", v.check, v.what, v.story.join("\n"))
-        };
-        violations.iter().map(line).collect::<Vec<String>>()
-    };
-    let broken = told(judge(&seen, plan));
-    (seen, broken)
-}
-
 /// Requests that ended in no whole stream though their clients waited for it.
 fn lost(seen: &Seen) -> Vec<String> {
     let well = |happened: &Happened| matches!(happened, Happened::Ended(Outcome::Served | Outcome::Left));
@@ -47,13 +17,6 @@
     lost.map(|(id, story)| format!("{id:x}: {story:?}")).collect()
 }
 
-/// No rule is broken.
-async fn keeps_all_rules(name: &str) -> Seen {
-    let (seen, broken) = played(&plan(name)).await;
-    assert!(broken.is_empty(), "{name}: {} rules broken:\n{}", broken.len(), broken.join("\n"));
-    seen
-}
-
 /// A silence of whole servers: no rule is broken, and few calls go there once they are found out.
 async fn finds_silent_servers(name: &str) {
     let seen = keeps_all_rules(name).await;
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,8 @@
 //! | [`plan`] | what happens when, drawn from a seed and kept in a file |
 //! | [`story`] | what clients and servers saw, request by request |
 //! | [`worker`], [`agent`], [`client`] | the stand-ins |
+//! | [`states`] | what readers hold, what waits for it, and what a release lets go of |
+//! | [`fate`] | what becomes of single calls at servers that are well |
 //! | [`network`] | what passes between routers and servers, and what does not |
 //! | [`router`] | router processes: starts, signals, faults of their system calls |
 //! | [`world`] | one play of a plan |
@@ -16,12 +18,14 @@
 
 pub mod agent;
 pub mod client;
+pub mod fate;
 pub mod http;
 pub mod network;
 pub mod oracle;
 pub mod plan;
 pub mod router;
 pub mod shrink;
+pub mod states;
 pub mod story;
 pub mod terms;
 pub mod worker;
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -269,7 +269,10 @@
             Outcome::Broken => {
                 let trouble = |attempt: &Attempt| {
                     let until = attempt.over.map_or(at, |(over, _)| over);
+                    let broke_off =
+                        |(_, happened): &(Instant, Happened)| *happened == Happened::BrokeOff(attempt.worker);
                     self.in_trouble(attempt.worker, attempt.first, until)
+                        || request.story.iter().any(broke_off)
                 };
                 let finished = self.seen.written.contains_key(&request.id);
                 if finished || !request.attempts.iter().any(trouble) {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! A plan: what happens when. It is drawn from a seed, and a file of it can be read, edited and played again.
 
+use crate::states::ReleaseReach;
 use crate::terms::{KILL_SLACK, LONGEST_DEADLINE};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
@@ -18,6 +19,10 @@
 const USUAL_RELEASE_MS: u64 = 1_000;
 /// Silences, times and signals are drawn by themselves: the other troubles of a seed stay what they were.
 const SILENCES: u64 = 0x51_1e0c;
+/// The same for calls that fail after they were taken.
+const FAILING_CALLS: u64 = 0x7a_ce17;
+/// A server notices the end of a connection so late at most.
+const MOST_NOTICED_LATE_MS: u64 = 150;
 
 /// One play.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -45,6 +50,18 @@
     /// Writers' first tokens take so long; none: some milliseconds.
     #[serde(default)]
     pub first_token_ms: Option<u64>,
+    /// So many of a thousand calls that servers took fail in a way that is drawn.
+    #[serde(default)]
+    pub calls_fail_per_mille: u32,
+    /// So many of a thousand releases do.
+    #[serde(default)]
+    pub releases_fail_per_mille: u32,
+    /// A server notices the end of a call's connection so late at most.
+    #[serde(default)]
+    pub end_noticed_within_ms: u64,
+    /// What a release does to a state that an attempt waits for.
+    #[serde(default)]
+    pub release_reach: ReleaseReach,
     /// What goes wrong.
     #[serde(default)]
     pub troubles: Vec<Trouble>,
@@ -169,6 +186,26 @@
         /// Which.
         worker: usize,
     },
+    /// Its process takes requests and says nothing.
+    WorkerTakes {
+        /// Which.
+        worker: usize,
+    },
+    /// All servers that read, or all that write, do so.
+    RoleTakes {
+        /// Which.
+        role: SilentRole,
+    },
+    /// It takes requests and turns them away later.
+    WorkerRefusesLate {
+        /// Which.
+        worker: usize,
+    },
+    /// It takes requests and resets their connections later.
+    WorkerResetsLate {
+        /// Which.
+        worker: usize,
+    },
     /// It turns requests away.
     WorkerRejects {
         /// Which.
@@ -259,6 +296,10 @@
             budget_ms: USUAL_BUDGET_MS,
             release_within_ms: USUAL_RELEASE_MS,
             first_token_ms: None,
+            calls_fail_per_mille: 0,
+            releases_fail_per_mille: 0,
+            end_noticed_within_ms: 0,
+            release_reach: ReleaseReach::default(),
             troubles: Vec::new(),
         };
         let count = chance.random_range(3..=9);
@@ -276,6 +317,7 @@
             plan.troubles.push(trouble);
         }
         plan.draw_silences(knot);
+        plan.draw_failing_calls(knot);
         plan.troubles.sort_by_key(|trouble| trouble.at_ms);
         plan
     }
@@ -309,6 +351,39 @@
         }
     }
 
+    /// Calls that are taken and fail later, and how servers see ends and releases.
+    fn draw_failing_calls(&mut self, knot: f64) {
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ FAILING_CALLS);
+        if chance.random_bool(0.5) {
+            self.end_noticed_within_ms = chance.random_range(0..=MOST_NOTICED_LATE_MS);
+        }
+        if chance.random_bool(0.25) {
+            self.release_reach = ReleaseReach::All;
+        }
+        if chance.random_bool(0.25) {
+            self.calls_fail_per_mille = chance.random_range(20..150);
+        }
+        if chance.random_bool(0.25) {
+            self.releases_fail_per_mille = chance.random_range(50..400);
+        }
+        for _ in 0..chance.random_range(0..=2) {
+            let at_ms =
+                (knot + chance.random_range(-600.0..600.0)).clamp(0.0, self.load_ms as f64 * TROUBLE_PART);
+            let for_ms = chance.random_range(500..3_500);
+            let worker = match chance.random_range(0..4) {
+                0 => chance.random_range(0..self.readers),
+                _ => self.readers + chance.random_range(0..self.writers),
+            };
+            let what = match chance.random_range(0..4) {
+                0 => What::WorkerTakes { worker },
+                1 => What::WorkerRefusesLate { worker },
+                2 => What::WorkerResetsLate { worker },
+                _ => What::RoleTakes { role: SilentRole::Writers },
+            };
+            self.troubles.push(Trouble { at_ms: at_ms as u64, for_ms, what });
+        }
+    }
+
     /// How long clients wait for their answers.
     pub fn budget(&self) -> Duration {
         Duration::from_millis(self.budget_ms)
@@ -327,8 +402,10 @@
     /// The servers that a trouble is about.
     pub fn workers_of(&self, what: &What) -> Vec<usize> {
         match what {
-            What::RoleSilent { role: SilentRole::Readers } => (0..self.readers).collect(),
-            What::RoleSilent { role: SilentRole::Writers } => {
+            What::RoleSilent { role: SilentRole::Readers }
+            | What::RoleTakes { role: SilentRole::Readers } => (0..self.readers).collect(),
+            What::RoleSilent { role: SilentRole::Writers }
+            | What::RoleTakes { role: SilentRole::Writers } => {
                 (self.readers..self.readers + self.writers).collect()
             }
             what => what.worker().into_iter().collect(),
@@ -408,6 +485,12 @@
         if !(100..=60_000).contains(&self.budget_ms) || !(100..=60_000).contains(&self.release_within_ms) {
             return Err(PlanError::Range("budget_ms and release_within_ms: 100 to 60000"));
         }
+        if self.calls_fail_per_mille > 1_000 || self.releases_fail_per_mille > 1_000 {
+            return Err(PlanError::Range("calls_fail_per_mille and releases_fail_per_mille: 1000 at most"));
+        }
+        if self.end_noticed_within_ms > 1_000 {
+            return Err(PlanError::Range("end_noticed_within_ms: 1000 at most"));
+        }
         let workers = self.readers + self.writers;
         let known = |trouble: &Trouble| {
             trouble.what.router().is_none_or(|router| router < self.routers)
@@ -456,6 +539,9 @@
             | What::WorkerResets { worker }
             | What::WorkerCrashes { worker }
             | What::WorkerDrains { worker }
+            | What::WorkerTakes { worker }
+            | What::WorkerRefusesLate { worker }
+            | What::WorkerResetsLate { worker }
             | What::WorkerRejects { worker }
             | What::WorkerSpoils { worker }
             | What::WorkerSlow { worker }
--- /dev/null
+++ b/soak/src/states.rs
@@ -0,0 +1,120 @@
+//! What readers hold for requests, and which attempts wait for it at writers: the servers' own view. Each transition
+//! cites the sentence of the operators' pages that it follows.
+
+use crate::story::{Book, Happened};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeSet, HashMap};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// What a release does to a state that an attempt waits for. The socket page says "releases everything held for the
+/// request", the simulator's page "lets go of every state and place that is held for the request and that no attempt
+/// waits for": a router has to do with either.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReleaseReach {
+    /// It lets go only of what no attempt waits for.
+    #[default]
+    Unawaited,
+    /// It lets go of all; the attempt finds nothing.
+    All,
+}
+
+/// The states of all requests.
+pub struct States {
+    reach: ReleaseReach,
+    book: Arc<Book>,
+    requests: Mutex<HashMap<u64, Request>>,
+}
+
+#[derive(Default)]
+struct Request {
+    readers: BTreeSet<usize>,
+    waiting: BTreeSet<u64>,
+}
+
+impl States {
+    /// Nothing is held.
+    pub fn new(reach: ReleaseReach, book: Arc<Book>) -> Arc<Self> {
+        Arc::new(States { reach, book, requests: Mutex::default() })
+    }
+
+    /// What a release does here.
+    pub fn reach(&self) -> ReleaseReach {
+        self.reach
+    }
+
+    fn locked(&self) -> MutexGuard<'_, HashMap<u64, Request>> {
+        self.requests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// "The read state then waits in its memory."
+    pub fn read(&self, request: u64, reader: usize) {
+        self.locked().entry(request).or_default().readers.insert(reader);
+        self.book.note(request, Happened::Held(reader));
+    }
+
+    /// "The request waits in its queue until a slot and memory for the prompt are free": it has arrived at a running
+    /// writer, and waits until what this returns is dropped.
+    pub fn wait(self: &Arc<Self>, request: u64, attempt: u64) -> Waiting {
+        self.locked().entry(request).or_default().waiting.insert(attempt);
+        Waiting { states: self.clone(), request, attempt }
+    }
+
+    /// "The state is fetched, the reader's memory is let go", and "with FIRST all else that is held goes by itself".
+    /// False if "the state is gone".
+    pub fn fetch(&self, request: u64) -> bool {
+        let readers = self.take(request);
+        self.note_let_go(request, &readers);
+        !readers.is_empty()
+    }
+
+    /// "`DELETE` releases everything held for the request, at any worker." See [`ReleaseReach`].
+    pub fn release(&self, request: u64) {
+        let awaited = self.locked().get(&request).is_some_and(|request| !request.waiting.is_empty());
+        if awaited && self.reach == ReleaseReach::Unawaited {
+            self.book.note(request, Happened::ReleasedInVain);
+            return;
+        }
+        let readers = self.take(request);
+        self.note_let_go(request, &readers);
+    }
+
+    /// "When a process dies", what it held is gone.
+    pub fn lose(&self, reader: usize) {
+        let mut lost = Vec::new();
+        for (id, request) in self.locked().iter_mut() {
+            if request.readers.remove(&reader) {
+                lost.push(*id);
+            }
+        }
+        lost.into_iter().for_each(|id| self.note_let_go(id, &BTreeSet::from([reader])));
+    }
+
+    fn take(&self, request: u64) -> BTreeSet<usize> {
+        let mut requests = self.locked();
+        requests.get_mut(&request).map(|request| std::mem::take(&mut request.readers)).unwrap_or_default()
+    }
+
+    fn note_let_go(&self, request: u64, readers: &BTreeSet<usize>) {
+        readers.iter().for_each(|reader| self.book.note(request, Happened::LetGo(*reader)));
+    }
+}
+
+/// An attempt that waits at a writer, until this is dropped: its answer begins, it is turned away, or the writer has
+/// noticed that its connection ended.
+pub struct Waiting {
+    states: Arc<States>,
+    request: u64,
+    attempt: u64,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut requests = self.states.locked();
+        let Some(request) = requests.get_mut(&self.request) else { return };
+        request.waiting.remove(&self.attempt);
+        if request.waiting.is_empty() && request.readers.is_empty() {
+            requests.remove(&self.request);
+        }
+    }
+}
--- a/soak/src/story.rs
+++ b/soak/src/story.rs
@@ -88,6 +88,10 @@
     Held(usize),
     /// That state is gone: fetched, released, or lost with its process.
     LetGo(usize),
+    /// A release was worked on that let go of nothing, since an attempt waited.
+    ReleasedInVain,
+    /// This server broke its stream off.
+    BrokeOff(usize),
 }
 
 /// Something that was done to a router.
--- a/soak/src/worker.rs
+++ b/soak/src/worker.rs
@@ -1,8 +1,10 @@
 //! Stand-in servers: readers hold what they read until it is fetched or released, writers stream. Each can be in trouble.
 //! What goes wrong on the way is the [`network`](crate::network)'s: a server knows of a call once it has taken it.
 
+use crate::fate::{CallFate, ReleaseFate};
 use crate::http::{Inbox, Request, chunk};
 use crate::network::{Connection, Network};
+use crate::states::{ReleaseReach, States, Waiting};
 use crate::story::{Book, Happened, Ran};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_pcg::Pcg64;
@@ -34,8 +36,14 @@
 pub enum Mode {
     /// Nothing.
     Well,
-    /// It takes requests and answers none.
+    /// Its machine takes requests and its process answers none: it never gets to them.
     Hangs,
+    /// Its process takes requests and says nothing: "workers that hang in the middle of their work".
+    Takes,
+    /// It takes requests and turns them away after some time.
+    RefusesLate,
+    /// It takes requests and resets their connections after some time.
+    ResetsLate,
     /// It turns requests away.
     Rejects,
     /// Its answers are garbage in the middle.
@@ -57,8 +65,18 @@
 type Reads = ReadHalf<DuplexStream>;
 type Writes = WriteHalf<DuplexStream>;
 
-/// States that readers hold, by request: which reader, since when.
-pub type Holds = Arc<Mutex<HashMap<u64, (usize, Instant)>>>;
+/// How servers treat calls, as a plan says.
+#[derive(Clone, Copy, Debug)]
+pub struct Manner {
+    /// Writers' first tokens take so long; none: some milliseconds.
+    pub first_token: Option<Duration>,
+    /// So many of a thousand calls fail in a way that is drawn.
+    pub calls_fail_per_mille: u32,
+    /// So many of a thousand releases do.
+    pub releases_fail_per_mille: u32,
+    /// A server notices the end of a call's connection so late at most; until then it works on.
+    pub end_noticed_within: Duration,
+}
 
 /// One server.
 pub struct Worker {
@@ -75,12 +93,13 @@
     up_since_ms: AtomicU64,
     /// Wakes who listens, when its process starts or ends.
     book: Arc<Book>,
-    holds: Holds,
+    states: Arc<States>,
     attempts: Arc<AtomicU64>,
+    releases: AtomicU64,
     /// Written tokens by request, of whole answers.
     written: Mutex<HashMap<u64, u64>>,
     seed: u64,
-    first_token: Option<Duration>,
+    manner: Manner,
 }
 
 fn locked<T>(of: &Mutex<T>) -> MutexGuard<'_, T> {
@@ -101,9 +120,9 @@
         role: Role,
         seed: u64,
         book: Arc<Book>,
-        holds: Holds,
+        states: Arc<States>,
         attempts: Arc<AtomicU64>,
-        first_token: Option<Duration>,
+        manner: Manner,
     ) -> std::io::Result<Arc<Self>> {
         let listener = bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
         let address = listener.local_addr()?;
@@ -115,11 +134,12 @@
             mode: watch::Sender::new(Mode::Well),
             up_since_ms: AtomicU64::new(0),
             book,
-            holds,
+            states,
             attempts,
+            releases: AtomicU64::new(0),
             written: Mutex::default(),
             seed,
-            first_token,
+            manner,
         });
         tokio::spawn(worker.clone().live(listener));
         Ok(worker)
@@ -143,7 +163,7 @@
     /// Puts it into trouble, or out of it.
     pub fn set(&self, mode: Mode) {
         if mode == Mode::Dead {
-            self.lose_holds();
+            self.states.lose(self.number);
         }
         let before = self.mode.send_replace(mode);
         if before == Mode::Dead && mode != Mode::Dead {
@@ -154,16 +174,6 @@
         }
     }
 
-    fn lose_holds(&self) {
-        let lost: Vec<u64> = {
-            let mut holds = locked(&self.holds);
-            let lost = holds.iter().filter(|(_, (at, _))| *at == self.number).map(|(id, _)| *id).collect();
-            holds.retain(|_, (at, _)| *at != self.number);
-            lost
-        };
-        lost.into_iter().for_each(|id| self.book.note(id, Happened::LetGo(self.number)));
-    }
-
     /// Listens while its process lives.
     async fn live(self: Arc<Self>, mut listener: TcpListener) {
         let (mut dies, mut lives) = (self.mode.subscribe(), self.mode.subscribe());
@@ -245,70 +255,164 @@
             return true;
         };
         if request.method == "DELETE" {
-            self.release(id);
-            return writes.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.is_ok();
+            return self.release(id, connection, reads, writes, inbox).await;
         }
         let attempt = Attempt::begin(self, connection, id, &request);
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ id ^ attempt.number << 32);
+        let waits = self.role == Role::Writes && attempt.taken;
+        let waiting = waits.then(|| self.states.wait(id, attempt.number));
+        let noticed = self.manner.end_noticed_within.mul_f64(chance.random_range(0.0..1.0));
         let gone = async {
             // One request at a time: whatever comes now is the end of the connection.
             while inbox.more(reads).await {}
+            attempt.connection_ended();
+            tokio::time::sleep(noticed).await;
         };
         tokio::select! {
             biased;
             () = gone => false,
-            on = self.answer(&attempt, id, writes) => on,
+            on = self.answer(&attempt, waiting, id, &mut chance, writes) => on,
         }
     }
 
-    /// Lets go of all that is held for a request, at whichever server.
-    fn release(&self, id: u64) {
-        let held = locked(&self.holds).remove(&id);
-        if let Some((reader, _)) = held {
-            self.book.note(id, Happened::LetGo(reader));
+    /// "Every worker accepts it and answers 204." False if its connection has ended.
+    async fn release(
+        &self,
+        id: u64,
+        connection: &Connection,
+        reads: &mut Reads,
+        writes: &mut Writes,
+        inbox: &mut Inbox,
+    ) -> bool {
+        let number = self.releases.fetch_add(1, Ordering::Relaxed);
+        let mut chance = Pcg64::seed_from_u64(self.seed ^ id ^ number << 32);
+        match ReleaseFate::draw(&mut chance, self.manner.releases_fail_per_mille) {
+            ReleaseFate::Answered => self.states.release(id),
+            ReleaseFate::Late(time) => {
+                tokio::time::sleep(time).await;
+                self.states.release(id);
+            }
+            ReleaseFate::Unanswered => {
+                self.states.release(id);
+                while inbox.more(reads).await {}
+                return false;
+            }
+            ReleaseFate::Reset => {
+                connection.reset();
+                return false;
+            }
+        }
+        writes.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").await.is_ok()
+    }
+
+    /// What becomes of one call.
+    fn fate(&self, mode: Mode, chance: &mut Pcg64) -> CallFate {
+        match mode {
+            Mode::Takes => CallFate::Hangs,
+            Mode::RefusesLate => CallFate::refused_late(chance),
+            Mode::ResetsLate => CallFate::reset_late(chance),
+            _ => CallFate::draw(chance, self.manner.calls_fail_per_mille),
         }
     }
 
     /// Answers; false if the connection is to end.
-    async fn answer(&self, attempt: &Attempt<'_>, id: u64, writes: &mut Writes) -> bool {
-        const TURNED_AWAY: &[u8] =
-            b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
-        const NO_STATE: &[u8] = b"HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
-        let mut chance = Pcg64::seed_from_u64(self.seed ^ id ^ attempt.number << 32);
+    async fn answer(
+        &self,
+        attempt: &Attempt<'_>,
+        waiting: Option<Waiting>,
+        id: u64,
+        chance: &mut Pcg64,
+        writes: &mut Writes,
+    ) -> bool {
         let mode = *self.mode.borrow();
-        let slow = if mode == Mode::Slow { SLOW } else { 1 };
-        match (mode, self.role) {
-            (Mode::Hangs, _) => std::future::pending().await,
-            (Mode::Rejects, _) => {
-                attempt.connection.passes().await;
-                attempt.over(Ran::No);
-                writes.write_all(TURNED_AWAY).await.is_ok()
-            }
-            (_, Role::Reads) => {
-                tokio::time::sleep(Duration::from_millis(chance.random_range(3..25)) * slow).await;
-                self.read(attempt, id, writes).await
+        if mode == Mode::Hangs {
+            return std::future::pending().await;
+        }
+        if mode == Mode::Rejects {
+            drop(waiting);
+            return attempt.turned_away(writes).await;
+        }
+        let fate = self.fate(mode, chance);
+        match fate {
+            CallFate::Answered | CallFate::AnswerLost => {}
+            CallFate::Hangs => return std::future::pending().await,
+            CallFate::Slow(time) => tokio::time::sleep(time).await,
+            CallFate::Refused(after) => {
+                tokio::time::sleep(after).await;
+                drop(waiting);
+                return attempt.turned_away(writes).await;
             }
-            (_, Role::Writes) => {
-                let held = locked(&self.holds).remove(&id);
-                let Some((reader, _)) = held else {
-                    attempt.connection.passes().await;
-                    attempt.over(Ran::No);
-                    return writes.write_all(NO_STATE).await.is_ok();
-                };
-                self.book.note(id, Happened::LetGo(reader));
-                attempt.runs();
-                self.stream(attempt, id, &mut chance, mode, writes).await
+            CallFate::Reset(after) => {
+                tokio::time::sleep(after).await;
+                drop(waiting);
+                attempt.connection.reset();
+                return false;
             }
         }
+        match self.role {
+            Role::Reads => self.read(attempt, id, chance, (mode, fate), writes).await,
+            Role::Writes => self.write(attempt, waiting, id, chance, (mode, fate), writes).await,
+        }
     }
 
-    async fn read(&self, attempt: &Attempt<'_>, id: u64, writes: &mut Writes) -> bool {
+    /// Waits for a slot, fetches the state and streams.
+    async fn write(
+        &self,
+        attempt: &Attempt<'_>,
+        waiting: Option<Waiting>,
+        id: u64,
+        chance: &mut Pcg64,
+        (mode, fate): (Mode, CallFate),
+        writes: &mut Writes,
+    ) -> bool {
+        const NO_STATE: &[u8] = b"HTTP/1.1 410 Gone\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+        let slow = if mode == Mode::Slow { SLOW } else { 1 };
+        let usual = Duration::from_millis(chance.random_range(3..30)) * slow;
+        let first_token = self.manner.first_token.unwrap_or(usual);
+        // The page leaves open how much of this a request waits in the queue, and how much its state is on its way.
+        let queued = match self.manner.first_token {
+            Some(_) => self.states.reach() == ReleaseReach::Unawaited,
+            None => chance.random_bool(0.5),
+        };
+        if queued {
+            tokio::time::sleep(first_token).await;
+        }
+        let fetched = self.states.fetch(id);
+        drop(waiting);
+        if !fetched {
+            attempt.connection.passes().await;
+            attempt.over(Ran::No);
+            return writes.write_all(NO_STATE).await.is_ok();
+        }
+        attempt.runs();
+        if !queued {
+            tokio::time::sleep(first_token).await;
+        }
+        let mode = if fate == CallFate::AnswerLost { Mode::Halves } else { mode };
+        self.stream(attempt, id, chance, mode, writes).await
+    }
+
+    async fn read(
+        &self,
+        attempt: &Attempt<'_>,
+        id: u64,
+        chance: &mut Pcg64,
+        (mode, fate): (Mode, CallFate),
+        writes: &mut Writes,
+    ) -> bool {
+        let slow = if mode == Mode::Slow { SLOW } else { 1 };
+        tokio::time::sleep(Duration::from_millis(chance.random_range(3..25)) * slow).await;
         let text = "{\"cached_tokens\":12}";
         let answer = match *self.mode.borrow() {
             Mode::Spoils => "HTTP/1.1 202 Accepted\r\nContent-Length: x\r\n\r\n".to_owned(),
             _ => format!("HTTP/1.1 202 Accepted\r\nContent-Length: {}\r\n\r\n{text}", text.len()),
         };
-        locked(&self.holds).insert(id, (self.number, Instant::now()));
-        self.book.note(id, Happened::Held(self.number));
+        self.states.read(id, self.number);
+        if fate == CallFate::AnswerLost {
+            attempt.over(Ran::Yes);
+            attempt.connection.reset();
+            return false;
+        }
         // It is out until its answer has gone to the router: a silence may begin in between.
         let passed_on = attempt.connection.passed_on() + answer.len() as u64;
         if writes.write_all(answer.as_bytes()).await.is_err() {
@@ -330,12 +434,11 @@
         let events = chance.random_range(2..14u32);
         let breaks = chance.random_range(0..events);
         let slow = if mode == Mode::Slow { SLOW } else { 1 };
-        let usual = Duration::from_millis(chance.random_range(3..30)) * slow;
-        tokio::time::sleep(self.first_token.unwrap_or(usual)).await;
         let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
         let mut text = head.to_owned();
         for event in 0..events {
             if event == breaks && matches!(mode, Mode::Spoils | Mode::Halves) {
+                self.book.note(id, Happened::BrokeOff(self.number));
                 let part = if mode == Mode::Spoils { "zz\r\n no chunk\r\n" } else { "40\r\ndata: {" };
                 let _ = writes.write_all(part.as_bytes()).await;
                 tokio::time::sleep(Duration::from_millis(30)).await;
@@ -375,6 +478,8 @@
     connection: &'a Connection,
     id: u64,
     number: u64,
+    /// The server was running when it came.
+    taken: bool,
     /// Whether it may have taken effect by now.
     ran: AtomicBool,
     over: AtomicBool,
@@ -391,7 +496,8 @@
             Happened::Whole { attempt: number, worker: worker.number, budget, sent: request.sent, taken };
         worker.book.note_at(id, request.last, whole);
         let reads = worker.role == Role::Reads;
-        Attempt { worker, connection, id, number, ran: AtomicBool::new(!reads), over: AtomicBool::new(false) }
+        let (ran, over) = (AtomicBool::new(!reads), AtomicBool::new(false));
+        Attempt { worker, connection, id, number, taken, ran, over }
     }
 
     fn runs(&self) {
@@ -406,9 +512,25 @@
     }
 }
 
-impl Drop for Attempt<'_> {
-    fn drop(&mut self) {
+impl Attempt<'_> {
+    /// Its connection has ended: it is out no more, whenever the server notices.
+    fn connection_ended(&self) {
         let ran = self.ran.load(Ordering::Relaxed);
         self.over(if ran { Ran::Yes } else { Ran::No });
     }
+
+    /// "503 or 504 with `X-Rejected: 1`: turned away, never has it run." False if the connection has ended.
+    async fn turned_away(&self, writes: &mut Writes) -> bool {
+        const TURNED_AWAY: &[u8] =
+            b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+        self.connection.passes().await;
+        self.over(Ran::No);
+        writes.write_all(TURNED_AWAY).await.is_ok()
+    }
+}
+
+impl Drop for Attempt<'_> {
+    fn drop(&mut self) {
+        self.connection_ended();
+    }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -5,9 +5,10 @@
 use crate::network::SilenceEnd;
 use crate::plan::{Plan, SystemCall, Trouble, What};
 use crate::router::{Router, StartError};
+use crate::states::States;
 use crate::story::{Book, Done, Seen};
 use crate::terms::{Class, configuration};
-use crate::worker::{Holds, Mode, Role, Worker};
+use crate::worker::{Manner, Mode, Role, Worker};
 use fawnstream_faults::Call;
 use fawnstream_ledger::entry::{Outcome, Record};
 use fawnstream_ledger::store::read_all;
@@ -97,19 +98,25 @@
 
 async fn build(plan: &Plan, program: &Path, folder: &Path) -> Result<World, WorldError> {
     let book = Arc::<Book>::default();
-    let (holds, attempts) = (Holds::default(), Arc::<AtomicU64>::default());
+    let states = States::new(plan.release_reach, book.clone());
+    let attempts = Arc::<AtomicU64>::default();
+    let manner = Manner {
+        first_token: plan.first_token_ms.map(Duration::from_millis),
+        calls_fail_per_mille: plan.calls_fail_per_mille,
+        releases_fail_per_mille: plan.releases_fail_per_mille,
+        end_noticed_within: Duration::from_millis(plan.end_noticed_within_ms),
+    };
     let mut workers = Vec::new();
     for number in 0..plan.readers + plan.writers {
         let role = if number < plan.readers { Role::Reads } else { Role::Writes };
-        let first_token = plan.first_token_ms.map(Duration::from_millis);
         workers.push(Worker::start(
             number,
             role,
             plan.seed,
             book.clone(),
-            holds.clone(),
+            states.clone(),
             attempts.clone(),
-            first_token,
+            manner,
         )?);
     }
     let discovery = Discovery::new(workers.clone(), book.clone());
@@ -235,6 +242,15 @@
                 tokio::time::sleep(time).await;
                 self.discovery.change(|list| list.leaving.retain(|known| *known != worker));
             }
+            What::WorkerTakes { worker } => self.mode(worker, Mode::Takes, time).await,
+            What::RoleTakes { .. } => {
+                let workers = self.plan.workers_of(&trouble.what);
+                workers.iter().for_each(|worker| self.workers[*worker].set(Mode::Takes));
+                tokio::time::sleep(time).await;
+                workers.iter().for_each(|worker| self.workers[*worker].set(Mode::Well));
+            }
+            What::WorkerRefusesLate { worker } => self.mode(worker, Mode::RefusesLate, time).await,
+            What::WorkerResetsLate { worker } => self.mode(worker, Mode::ResetsLate, time).await,
             What::WorkerRejects { worker } => self.mode(worker, Mode::Rejects, time).await,
             What::WorkerSpoils { worker } if trouble.for_ms.is_multiple_of(2) => {
                 self.mode(worker, Mode::Spoils, time).await
