--- a/leases/src/action.rs
+++ b/leases/src/action.rs
@@ -103,6 +103,17 @@
     },
 }
 
+/// What the answer of a release proves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReleaseProof {
+    /// All that was held is gone.
+    Conclusive,
+    /// An attempt is out that may have waited for it.
+    UnderAttempt,
+    /// An attempt may have waited for it whose server had not noticed its end, or a server concerned is in doubt.
+    Unconfirmed,
+}
+
 /// What a release was made for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReleaseKind {
--- a/leases/src/lease.rs
+++ b/leases/src/lease.rs
@@ -1,6 +1,6 @@
 //! The lease of one request: its phase, who may wait for its state, and what a release proves.
 
-use crate::action::{AttemptEnd, LateReason, ReleaseKind};
+use crate::action::{AttemptEnd, LateReason, ReleaseKind, ReleaseProof};
 use crate::terms::Terms;
 use fawnstream_fleet::reach::Reach;
 use std::time::Duration;
@@ -234,15 +234,20 @@
         self.released_under_attempt
     }
 
-    /// Whether a release that was answered has let go of all that was held. It has not if an attempt may have waited: one
-    /// that is out, or one whose server had not noticed its end, which is not known of a server in doubt. Nor if its reader
-    /// is in doubt: who answered may be cut off from it.
-    pub(crate) fn is_conclusive(&self, call: Call, now: Duration, reach: &Reach) -> bool {
+    /// What the answer of a release proves. It has let go of nothing if an attempt may have waited: one that is out, or one
+    /// whose server had not noticed its end, which is not known of a server in doubt. Nor if its reader is in doubt: who
+    /// answered may be cut off from it.
+    pub(crate) fn proof_of(&self, call: Call, now: Duration, reach: &Reach) -> ReleaseProof {
+        if self.attempt == Attempt::Out {
+            return ReleaseProof::UnderAttempt;
+        }
         let behind_ends = !call.crossed_end && call.sent_at >= self.ends.noticed_by;
-        let nobody_waits = behind_ends && self.attempt != Attempt::Out;
         let doubts_count = self.doubts_end.is_none_or(|end| now < end);
         let in_doubt = |server: &u64| reach.doubt(*server, now) > DOUBTED;
         let mut concerned = self.ends.unnoticed.iter().chain([&self.reader]);
-        nobody_waits && !(doubts_count && concerned.any(in_doubt))
+        match behind_ends && !(doubts_count && concerned.any(in_doubt)) {
+            true => ReleaseProof::Conclusive,
+            false => ReleaseProof::Unconfirmed,
+        }
     }
 }
--- a/leases/src/lib.rs
+++ b/leases/src/lib.rs
@@ -39,7 +39,7 @@
 mod terms;
 mod timetable;
 
-pub use action::{Action, AttemptEnd, LateReason, Permission, ReleaseCounts, ReleaseOutcome};
+pub use action::{Action, AttemptEnd, LateReason, Permission, ReleaseCounts, ReleaseOutcome, ReleaseProof};
 pub use terms::Terms;
 
 use fawnstream_fleet::reach::Reach;
@@ -197,7 +197,7 @@
 
     // Releases.
 
-    /// A release ended at `server`.
+    /// A release ended at `server`. What that proves, if it was answered and not ended before.
     pub fn release_ended(
         &mut self,
         request: u64,
@@ -205,13 +205,13 @@
         outcome: ReleaseOutcome,
         now: Duration,
         reach: &Reach,
-    ) {
-        let Some(lease) = self.leases.get_mut(&request) else { return };
-        let Some(call) = lease.end_call(server) else { return };
+    ) -> Option<ReleaseProof> {
+        let lease = self.leases.get_mut(&request)?;
+        let call = lease.end_call(server)?;
         self.calls.ended(server);
         let last = lease.calls.is_empty();
         match outcome {
-            ReleaseOutcome::Answered => self.answered(request, call, now, reach),
+            ReleaseOutcome::Answered => return self.answered(request, call, now, reach),
             ReleaseOutcome::Failed => {
                 lease.late_reason = LateReason::Unanswered;
                 if last && lease.asked.len() < MOST_AT_ONCE {
@@ -226,18 +226,21 @@
                 }
             }
         }
+        None
     }
 
     /// A server said that it released what is held. That ends the lease only if no attempt can have waited for it.
-    fn answered(&mut self, request: u64, call: Call, now: Duration, reach: &Reach) {
+    fn answered(&mut self, request: u64, call: Call, now: Duration, reach: &Reach) -> Option<ReleaseProof> {
         let limit = self.terms.unattended_limit();
-        let Some(lease) = self.leases.get_mut(&request) else { return };
+        let lease = self.leases.get_mut(&request)?;
         self.counts.count(lease.release_kind());
         lease.note_released(call, now);
-        let conclusive = lease.is_conclusive(call, now, reach);
+        let proof = lease.proof_of(call, now, reach);
+        let conclusive = proof == ReleaseProof::Conclusive;
         if conclusive && lease.attempt == Attempt::None {
             self.end_releases(request, None);
-            return self.remove(request);
+            self.remove(request);
+            return Some(proof);
         }
         lease.phase = Phase::Unconfirmed;
         let limit_reached = lease.unattended_since + limit;
@@ -248,6 +251,7 @@
         // Nothing is left for an attempt that starts now; how it ends matters to what is read after it.
         self.end_releases(request, (!conclusive).then_some(limit_reached));
         self.schedule(request, Some(again.max(now)));
+        Some(proof)
     }
 
     /// When [`Leases::poll`] has something to do without any event.
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -72,7 +72,7 @@
     /// The client's deadline, told to the server.
     pub deadline: Instant,
     /// When what is held for the request has to be let go, unless its last byte is written by then.
-    pub expires: Option<Instant>,
+    pub write_by: Option<Instant>,
     /// Its first byte is written by then or never: later a repeat would no longer be known as one.
     pub latest: Option<Instant>,
     /// It must not be begun before this says so, and tells that time anew: what is held is being let go of.
@@ -689,7 +689,7 @@
             server,
             until: now,
             deadline: now,
-            expires: None,
+            write_by: None,
             latest: None,
             after: None,
             stop: stopped,
@@ -1084,7 +1084,7 @@
         };
         let latest = latest.filter(|_| server.role != Role::Reader);
         open.history.begin(to, self.lease_time());
-        let (expires, after) = match self.leases.borrow_mut().attempt_starts(id.0, self.lease_time()) {
+        let (write_by, after) = match self.leases.borrow_mut().attempt_starts(id.0, self.lease_time()) {
             Permission::Now { write_by } => (write_by.map(|at| self.instant(at)), None),
             Permission::AfterRelease => {
                 let (go, after) = oneshot::channel();
@@ -1100,7 +1100,7 @@
             server,
             until: wait.min(open.deadline),
             deadline: open.deadline,
-            expires,
+            write_by,
             latest,
             after,
             stop: stopped,
--- a/router/src/core/leases.rs
+++ b/router/src/core/leases.rs
@@ -3,7 +3,7 @@
 use super::{Alarm, Core, Server, label, server_id};
 use crate::log;
 use fawnstream_attempts::invariants::Rule;
-use fawnstream_leases::{Action, LateReason, ReleaseCounts, ReleaseOutcome};
+use fawnstream_leases::{Action, LateReason, ReleaseCounts, ReleaseOutcome, ReleaseProof};
 use shedrelay::{Event, RequestId, ServerId};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -92,7 +92,10 @@
                     Action::Late { label, reader, held, reason } => {
                         let at = self.server(ServerId(reader));
                         let (ms, server) = (held.as_millis(), self::label(&at));
-                        log!("hold late id={label} server={server} held_ms={ms} reason={}", name(reason));
+                        log!(
+                            "hold late id={label} server={server} held_ms={ms} reason={}",
+                            reason_name(reason)
+                        );
                         self.violations.count(Rule::HoldReleased);
                     }
                     Action::Abandoned { label, reader } => {
@@ -148,17 +151,17 @@
         let (me, server) = (self.me.clone(), server_id(&at.label));
         let call = async move {
             let outcome = servers.release(label.clone(), at.clone()).await;
-            if outcome == ReleaseOutcome::Answered {
-                log!("hold released id={label} by={}", at.label);
-            }
             let Some(core) = me.upgrade() else { return };
             if outcome != ReleaseOutcome::Unsent {
                 let ok = outcome == ReleaseOutcome::Answered;
                 core.handle(Event::Probed { server, ok, report: None });
             }
-            {
+            let proof = {
                 let (mut leases, router) = (core.leases.borrow_mut(), core.router.borrow());
-                leases.release_ended(request, server.0, outcome, core.lease_time(), router.reach());
+                leases.release_ended(request, server.0, outcome, core.lease_time(), router.reach())
+            };
+            if let Some(proof) = proof {
+                log!("hold released id={label} by={} proof={}", at.label, proof_name(proof));
             }
             core.poll_leases();
         };
@@ -167,8 +170,17 @@
     }
 }
 
+/// What the answer of a release proves, for the log.
+fn proof_name(proof: ReleaseProof) -> &'static str {
+    match proof {
+        ReleaseProof::Conclusive => "conclusive",
+        ReleaseProof::UnderAttempt => "under-attempt",
+        ReleaseProof::Unconfirmed => "unconfirmed",
+    }
+}
+
 /// Why something is held too long, for the log.
-fn name(reason: LateReason) -> &'static str {
+fn reason_name(reason: LateReason) -> &'static str {
     match reason {
         LateReason::Unanswered => "unanswered",
         LateReason::NoConnection => "no-sockets",
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -128,10 +128,10 @@
             let (request, attempt) = (order.request, order.attempt);
             let mut way = Way { core: &core, pool: &pool, handover: &handover, closings: &closings };
             if let Some(after) = order.after.take() {
-                order.expires = tokio::select! {
+                order.write_by = tokio::select! {
                     biased;
                     // Nobody can say so any more where the core has ended.
-                    expires = after => expires.unwrap_or_default(),
+                    write_by = after => write_by.unwrap_or_default(),
                     _ = &mut order.stop => {
                         return core.ended(request, attempt, Ended::unsent(Verdict::Cancelled, "cancelled"));
                     }
@@ -371,7 +371,7 @@
         answer = &mut asked => Ok(answer),
         _ = &mut order.stop => Err(cut(&lane, Verdict::Cancelled, "cancelled")),
         () = actix_rt::time::sleep_until(until.into()) => Err(cut(&lane, Verdict::Timeout, "timed-out")),
-        () = expired(order.expires, &lane) => Err(cut(&lane, Verdict::Expired, "expired")),
+        () = expired(order.write_by, &lane) => Err(cut(&lane, Verdict::Expired, "expired")),
     };
     let answer = match answer {
         Ok(answer) => answer,
