--- a/leases/tests/transitions.rs
+++ b/leases/tests/transitions.rs
@@ -4,7 +4,7 @@
 
 use common::{TERMS, ms};
 use fawnstream_fleet::reach::{Met, Reach};
-use fawnstream_leases::{Action, AttemptEnd, Leases, Permission, ReleaseOutcome, Terms};
+use fawnstream_leases::{Action, AttemptEnd, Leases, Permission, ReleaseOutcome, ReleaseProof, Terms};
 use std::collections::{HashMap, VecDeque};
 
 fn servers(count: u64) -> Reach {
@@ -293,6 +293,87 @@
     assert!(leases.is_empty());
 }
 
+/// An attempt that awaited a conclusive release is remembered: what is read after it is released once it can wait no longer.
+#[test]
+fn an_attempt_that_awaited_a_release_is_remembered_by_the_next_read() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_ended(1, &"a", 0, ms(0));
+    assert_eq!(asked(leases.poll(ms(500), &reach)), [0]);
+    assert_eq!(leases.attempt_starts(1, ms(500)), Permission::AfterRelease);
+    leases.release_ended(1, 0, ReleaseOutcome::Answered, ms(502), &reach);
+    let ended = Action::ReleasesEnded { request: 1, write_by: None };
+    assert!(leases.poll(ms(502), &reach).contains(&ended));
+    leases.attempt_ended(1, 2, AttemptEnd::Unanswered, ms(520));
+    leases.attempt_starts(1, ms(521));
+    leases.read_ended(1, &"a", 1, ms(540));
+    leases.request_closed(1, ms(541));
+    assert_eq!(play(&mut leases, &reach, 541, 3_000), [(581, 1), (956, 1)]);
+    assert!(leases.is_empty());
+}
+
+/// Nobody answers while an attempt is out: its lease is known when it ends, however late that is.
+#[test]
+fn a_lease_is_not_abandoned_while_its_attempt_is_out() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_ended(1, &"a", 0, ms(0));
+    leases.attempt_starts(1, ms(5));
+    for now in (500..8_000).step_by(5) {
+        for server in asked(leases.poll(ms(now), &reach)) {
+            leases.release_ended(1, server, ReleaseOutcome::Failed, ms(now), &reach);
+        }
+    }
+    assert_eq!(leases.len(), 1);
+    leases.attempt_ended(1, 2, AttemptEnd::Answered, ms(8_000));
+    leases.request_closed(1, ms(8_000));
+    assert!(!play(&mut leases, &reach, 8_000, 9_000).is_empty());
+    assert!(leases.is_empty());
+}
+
+/// A call on a connection that its server closed may never have been read: the clock has been running.
+#[test]
+fn a_closed_connection_does_not_stop_the_clock() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_ended(1, &"a", 0, ms(0));
+    leases.attempt_starts(1, ms(5));
+    leases.attempt_ended(1, 2, AttemptEnd::Closed, ms(400));
+    assert_eq!(play(&mut leases, &reach, 400, 3_000), [(500, 0)]);
+    assert!(leases.is_empty());
+}
+
+/// What was released since the attempt's end is not released again before its server must have noticed.
+#[test]
+fn a_request_that_closes_does_not_hurry_a_second_release() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_lost(1, &"a", 0, AttemptEnd::Unanswered, ms(0));
+    assert_eq!(play(&mut leases, &reach, 0, 10), [(0, 0)]);
+    leases.request_closed(1, ms(10));
+    assert_eq!(play(&mut leases, &reach, 10, 3_000), [(375, 0)]);
+    assert!(leases.is_empty());
+}
+
+/// An attempt that was never sent waited for nothing: a release that was under way when it ended is as good as before.
+#[test]
+fn an_attempt_that_was_not_sent_makes_no_release_doubtful() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_ended(1, &"a", 0, ms(0));
+    leases.release(1, ms(10));
+    assert_eq!(asked(leases.poll(ms(10), &reach)), [0]);
+    assert_eq!(leases.attempt_starts(1, ms(11)), Permission::AfterRelease);
+    leases.attempt_ended(1, 2, AttemptEnd::NotSent, ms(12));
+    let proof = leases.release_ended(1, 0, ReleaseOutcome::Answered, ms(13), &reach);
+    assert_eq!(proof, Some(ReleaseProof::Conclusive));
+    assert!(leases.is_empty());
+}
+
+/// What may be left has reached its limit: an attempt waits for its release, and does not begin past its own time.
+#[test]
+fn an_attempt_waits_for_a_repeated_release_that_is_due() {
+    let (mut leases, reach) = (Leases::new(TERMS), servers(3));
+    leases.read_lost(1, &"a", 0, AttemptEnd::Unanswered, ms(0));
+    assert_eq!(play(&mut leases, &reach, 0, 10), [(0, 0)]);
+    assert_eq!(leases.attempt_starts(1, ms(600)), Permission::AfterRelease);
+}
+
 /// The answer begins while its state is being released: the calls end, and nothing is counted as late.
 #[test]
 fn an_answer_ends_a_release_that_is_under_way() {
