--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -22,7 +22,7 @@
 const TOLD_PART: f64 = 2.0 / 3.0;
 
 /// The names of all checks.
-pub const CHECKS: [&str; 17] = [
+pub const CHECKS: [&str; 18] = [
     "one_final_answer",
     "answer_in_time",
     "stream_ended",
@@ -39,6 +39,7 @@
     "at_rest",
     "ledger_equals_truth",
     "no_crash",
+    "ends_when_told",
     "bad_clients_ended",
 ];
 
@@ -530,6 +531,11 @@
                     _ => {}
                 }
             }
+            // The last thing that is done to a router is to tell it to end, when all has come to rest.
+            let rested = self.seen.rests.iter().any(|rest| rest.router == router);
+            if rested && matches!(done[..], [.., (_, Done::Told), (_, Done::Killed)]) {
+                self.broken("ends_when_told", format!("n{router} was at rest and did not end"), None);
+            }
         }
         for alarm in self.seen.alarms.clone() {
             self.broken("no_crash", alarm, None);
