--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! | module | what |
 //! | --- | --- |
 //! | [`plan`] | what happens when, drawn from a seed and kept in a file |
+//! | [`trouble`] | what can go wrong, and with whom |
 //! | [`story`] | what clients and servers saw, request by request |
 //! | [`worker`], [`agent`], [`client`] | the stand-ins |
 //! | [`states`] | what readers hold, what waits for it, and what a release lets go of |
@@ -28,5 +29,6 @@
 pub mod states;
 pub mod story;
 pub mod terms;
+pub mod trouble;
 pub mod worker;
 pub mod world;
--- a/soak/src/oracle.rs
+++ b/soak/src/oracle.rs
@@ -1,8 +1,9 @@
 //! The rules, each a named check over what clients and servers saw. None of the router's code is asked.
 
-use crate::plan::{Plan, What};
+use crate::plan::Plan;
 use crate::story::{Done, Happened, Outcome, Ran, Seen, Story};
 use crate::terms::*;
+use crate::trouble::What;
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -3,11 +3,12 @@
 use crate::agent::Discovery;
 use crate::client::{self, Ask, Resting, Takes};
 use crate::network::SilenceEnd;
-use crate::plan::{Plan, SystemCall, Trouble, What};
+use crate::plan::Plan;
 use crate::router::{Router, StartError};
 use crate::states::States;
 use crate::story::{Book, Done, Seen};
 use crate::terms::{Class, configuration};
+use crate::trouble::{SystemCall, Trouble, What};
 use crate::worker::{Manner, Mode, Role, Worker};
 use fawnstream_faults::Call;
 use fawnstream_ledger::entry::{Outcome, Record};
