--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -164,10 +164,22 @@
                 8 => What::RoleSilent { role: SilentRole::Readers },
                 _ => What::RouterSignals { router: chance.random_range(0..self.routers) },
             };
-            self.troubles.push(Trouble { at_ms, for_ms, what });
+            let trouble = Trouble { at_ms, for_ms, what };
+            if !self.silences_all_with(&trouble) {
+                self.troubles.push(trouble);
+            }
         }
     }
 
+    /// With this trouble both roles would be silent at once: a release is made "at any worker", and none could be reached.
+    fn silences_all_with(&self, new: &Trouble) -> bool {
+        let What::RoleSilent { role } = new.what else { return false };
+        let other_role = |what: &What| matches!(what, What::RoleSilent { role: other } if *other != role);
+        let overlaps =
+            |old: &Trouble| old.at_ms < new.at_ms + new.for_ms && new.at_ms < old.at_ms + old.for_ms;
+        self.troubles.iter().any(|old| other_role(&old.what) && overlaps(old))
+    }
+
     /// Calls that are taken and fail later, and how servers see ends and releases.
     fn draw_failing_calls(&mut self, knot: f64) {
         let mut chance = Pcg64::seed_from_u64(self.seed ^ FAILING_CALLS);
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -2,6 +2,7 @@
 
 use fawnstream_soak::plan::{Plan, PlanError};
 use fawnstream_soak::shrink::shrink;
+use fawnstream_soak::trouble::{SilentRole, Trouble, What};
 
 #[test]
 fn a_seed_has_one_plan_and_a_file_keeps_it() {
@@ -26,6 +27,25 @@
     assert!(count > 80, "{count} of 100");
 }
 
+/// A release is made "at any worker": with all of them cut off no router can keep the rule on what is held.
+#[test]
+fn no_plan_cuts_off_all_servers_at_once() {
+    let silent = |plan: &Plan, role: SilentRole| -> Vec<Trouble> {
+        let of = |trouble: &&Trouble| trouble.what == What::RoleSilent { role };
+        plan.troubles.iter().filter(of).cloned().collect()
+    };
+    let overlap = |a: &Trouble, b: &Trouble| a.at_ms < b.at_ms + b.for_ms && b.at_ms < a.at_ms + a.for_ms;
+    let (mut readers_silent, mut writers_silent) = (0, 0);
+    for seed in 1..1_000 {
+        let plan = Plan::draw(seed);
+        let (readers, writers) = (silent(&plan, SilentRole::Readers), silent(&plan, SilentRole::Writers));
+        readers_silent += readers.len();
+        writers_silent += writers.len();
+        assert!(!readers.iter().any(|a| writers.iter().any(|b| overlap(a, b))), "seed {seed}");
+    }
+    assert!(readers_silent > 50 && writers_silent > 50, "{readers_silent}, {writers_silent}");
+}
+
 #[test]
 fn a_file_that_makes_no_sense_gets_one_clear_line() {
     let folder = tempfile::tempdir().unwrap();
