Let the soak's servers keep a connection after a call: a dropped wait left zeros in their inbox

Cause: Inbox::more resized its buffer, waited, and was dropped by select before it cut the buffer back; the next request began with zeros and the server closed. Change: it reads aside. The program is as it was.

--- a/soak/src/http.rs
+++ b/soak/src/http.rs
@@ -44,11 +44,10 @@
 
     /// Reads more; false at the end of the connection.
     pub async fn more(&mut self, from: &mut (impl AsyncRead + Unpin)) -> bool {
-        let before = self.bytes.len();
-        self.bytes.resize(before + PIECE, 0);
-        let read = from.read(&mut self.bytes[before..]).await;
-        let size = read.unwrap_or(0);
-        self.bytes.truncate(before + size);
+        // Read aside: who waits here may be dropped, and must leave nothing behind.
+        let mut piece = [0; PIECE];
+        let size = from.read(&mut piece).await.unwrap_or(0);
+        self.bytes.extend_from_slice(&piece[..size]);
         if size > 0 {
             self.first.get_or_insert_with(Instant::now);
         }
