Review, case 2: a client's WebSocket message is lost when its server drains in the middle

A client is in the middle of a message of four frames when its connection's turn to move comes. The message ends, passes whole to the old server, and the router opens the new server and closes the old one before it has acknowledged the message; the client stays connected and gets no answer. docs/design-sessions.md allows a move only where the server has acknowledged all that the client said.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,8 +2,10 @@
 //! with 1 if the rule was broken, 0 if it held and 2 if the case could not run.
 
 mod common;
+mod drained_mid_message;
 mod second_answer;
 mod servers;
+mod websocket;
 mod wire;
 
 use common::{Case, Record, end_all};
@@ -30,6 +32,7 @@
     case.record.line(&format!("case {number}, trouble {}", if case.trouble { "on" } else { "off" }));
     match number.as_str() {
         "1" => second_answer::play(&case),
+        "2" => drained_mid_message::play(&case),
         _ => case.verdict(2, "no such case"),
     }
 }
