Review, case 3: requests that come late after SIGTERM are begun and cut by SIGKILL

After SIGTERM a request that a slow client is still writing is read to its end and forwarded however late it comes; its stream is under way at SIGKILL.

No other test was run for this commit.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,6 +3,7 @@
 
 mod common;
 mod drained_mid_message;
+mod late_at_restart;
 mod second_answer;
 mod servers;
 mod websocket;
@@ -33,6 +34,7 @@
     match number.as_str() {
         "1" => second_answer::play(&case),
         "2" => drained_mid_message::play(&case),
+        "3" => late_at_restart::play(&case),
         _ => case.verdict(2, "no such case"),
     }
 }
