Move the pool of connections and streams without awc into files of their own

link.rs had grown to 830 lines and held three things: the socket that awc uses, the pool, and streams that go on without awc. No behaviour changes; the parts are moved as they were, and ServerConnection has a constructor in place of its fields being filled in by the pool.

--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -1,7 +1,7 @@
-//! The pool of connections to servers. Each connection has an awc client of its own, limited to that one connection.
-//! This shows what awc hides: which connection carries an attempt, and whether the attempt's last byte was written.
+//! A connection to a server. Each has an awc client of its own, limited to that one connection. This shows what awc
+//! hides: which connection carries an attempt, and whether the attempt's last byte was written.
 
-use super::framing::{AnswerError, AnswerParser, take_chunk};
+use super::framing::{AnswerError, AnswerParser};
 use crate::core::Server;
 use crate::exchange::Exchange;
 use crate::handover::Framing;
@@ -15,10 +15,8 @@
 use bytes::Bytes;
 use fawnstream_attempts::decisions::{BeginFacts, NotBegun, SignOfLife, may_begin};
 use fawnstream_attempts::delivery::Delivery;
-use shedrelay_settings::ConnectionSettings;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -30,29 +28,11 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{Sleep, sleep};
 
-/// Idle connections are closed after this share of the time after which servers close them. A server's close that
-/// crosses a request would reset the connection, and the request would be lost.
-const IDLE_SHARE: f64 = 0.6;
-/// Once this many connections have recently broken right after reuse, connections are no longer reused after half the
-/// idle time of one that broke. Guards against a network path on which idle connections die unnoticed: each of them
-/// would lose a request that may not be sent twice.
-const EARLY_BREAK_LIMIT: f64 = 3.0;
-/// Share of the count of early breaks that remains after each sweep.
-const EARLY_BREAK_DECAY: f64 = 0.95;
-/// Factor by which the reuse limit grows again with each sweep.
-const REUSE_LIMIT_GROWTH: f64 = 1.04;
-/// Smallest reuse limit.
-const MIN_REUSE_LIMIT: Duration = Duration::from_millis(1);
-/// Time between sweeps of the idle connections.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(500);
 /// A server writes a head or a chunk at once, so one that began and is incomplete after this time never completes.
 /// Guards against waiting on a stream that can't continue, and against taking its server for silent.
-const PARTIAL_TIMEOUT: Duration = Duration::from_millis(500);
+pub const PARTIAL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Bytes read from a connection at once.
-const READ_SIZE: usize = 8 * 1024;
-/// Share of the drain grace within which the first byte of an attempt is written; the rest is for its transit.
-const GRACE_SHARE: f64 = 0.7;
-
+pub const READ_SIZE: usize = 8 * 1024;
 /// Whether an attempt may begin. Checked again when its first byte is about to be written, which may be long after the
 /// decision to send it.
 pub struct BeginCheck {
@@ -461,6 +441,69 @@
 }
 
 impl ServerConnection {
+    /// A connection whose socket is connected for its first request. While it is open, it counts in `open_count`.
+    pub fn new(
+        address: SocketAddr,
+        connect_timeout: Duration,
+        keep_alive: Duration,
+        open_count: Rc<Cell<usize>>,
+        dispatches: Rc<Cell<u64>>,
+    ) -> Self {
+        let state = Rc::new(ConnectionState { dispatches, ..ConnectionState::default() });
+        let ready = Rc::<RefCell<Option<TcpStream>>>::default();
+        let connector = Connector { address, state: state.clone(), open_count, ready: ready.clone() };
+        let connector = awc::Connector::new()
+            .connector(connector)
+            .limit(1)
+            .timeout(connect_timeout)
+            .conn_keep_alive(keep_alive)
+            .conn_lifetime(Duration::from_secs(24 * 3_600))
+            .disconnect_timeout(Duration::from_millis(1));
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .no_default_headers()
+            .finish();
+        ServerConnection {
+            client,
+            address,
+            state,
+            ready,
+            connect_timeout,
+            idle_since: Instant::now(),
+            used: false,
+        }
+    }
+
+    /// The server's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether it has carried a request.
+    pub fn used(&self) -> bool {
+        self.used
+    }
+
+    /// Since when it has been without a request.
+    pub fn idle_since(&self) -> Instant {
+        self.idle_since
+    }
+
+    /// Bytes came that belong to no answer.
+    pub fn has_extra_bytes(&self) -> bool {
+        self.state.extra_bytes.get()
+    }
+
+    /// Ends the request on it: from now on it is idle. Drops its reference to the request, which ends with its attempt.
+    /// Returns whether its server drains.
+    pub fn finish_request(&mut self) -> bool {
+        let check = self.state.begin_check.take();
+        (self.idle_since, self.used) = (Instant::now(), true);
+        check.is_some_and(|check| check.server.draining_since.get().is_some())
+    }
+
     /// Connects the socket ahead of the first request.
     pub fn dialer(&self) -> Dialer {
         let is_up = self.used || self.state.stream.borrow().is_some();
@@ -553,278 +596,3 @@
         AnswerError::Truncated => "cut-short",
     }
 }
-
-fn max_idle(settings: ConnectionSettings) -> Duration {
-    Duration::from_nanos(settings.idle.0).mul_f64(IDLE_SHARE)
-}
-
-/// Counts as one of the pool's open connections, for a connection that is not opened through the pool.
-pub struct ConnectionPermit(Rc<Cell<usize>>);
-
-impl Drop for ConnectionPermit {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
-/// A stream's connection to its server without awc: one that another process handed over, or declined to take over.
-pub struct RawConnection {
-    /// The socket; `None` once it was taken.
-    pub stream: Option<TcpStream>,
-    parser: AnswerParser,
-    /// Complete chunks that have not been passed on.
-    validated: bytes::BytesMut,
-    /// Since when a part of a chunk waits for the rest.
-    partial_since: Option<Instant>,
-    /// The server ended the connection.
-    pub ended: bool,
-    /// Why the answer is invalid.
-    pub error: Option<AnswerError>,
-    _permit: ConnectionPermit,
-}
-
-impl RawConnection {
-    /// Resumes the answer on a connection at the given state of its framing. `None` if that state is invalid.
-    pub fn new(stream: TcpStream, framing: Framing, permit: ConnectionPermit) -> Option<Self> {
-        let parser = AnswerParser::resume(framing)?;
-        let partial_since = parser.partial().then(Instant::now);
-        let validated = bytes::BytesMut::new();
-        Some(RawConnection {
-            stream: Some(stream),
-            parser,
-            validated,
-            partial_since,
-            ended: false,
-            error: None,
-            _permit: permit,
-        })
-    }
-
-    /// The state of the answer's framing, if all of its validated bytes were passed on.
-    pub fn framing(&self) -> Option<Framing> {
-        let resumable = self.validated.is_empty() && !self.ended && self.error.is_none();
-        resumable.then(|| self.parser.framing()).flatten()
-    }
-
-    /// The next piece of the answer; `None` at its end, complete or not. Cancellation safe.
-    pub async fn next_piece(&mut self) -> Option<Result<Bytes, ()>> {
-        loop {
-            if let Some(piece) = take_chunk(&mut self.validated) {
-                return Some(Ok(piece));
-            }
-            if self.error.is_some() {
-                return Some(Err(()));
-            }
-            if self.ended || self.parser.done() {
-                return None;
-            }
-            let stream = self.stream.as_mut()?;
-            let deadline = self.partial_since.map_or_else(
-                || Instant::now() + crate::servers::STALL_TIMEOUT,
-                |since| since + PARTIAL_TIMEOUT,
-            );
-            match tokio::time::timeout_at(deadline.into(), stream.readable()).await {
-                Ok(Ok(())) => {}
-                Ok(Err(_)) => return Some(Err(())),
-                Err(_) if self.partial_since.is_some() => {
-                    self.error = Some(AnswerError::Truncated);
-                    continue;
-                }
-                // The caller has its own timeout for a silent stream.
-                Err(_) => continue,
-            }
-            let mut piece = [0; READ_SIZE];
-            match stream.try_read(&mut piece) {
-                Ok(0) => self.ended = true,
-                Ok(size) => {
-                    let mut validated = Vec::new();
-                    self.error = self.parser.feed(&piece[..size], &mut validated).err();
-                    self.validated.extend_from_slice(&validated);
-                    self.partial_since = match self.parser.partial() {
-                        false => None,
-                        true if validated.is_empty() => self.partial_since.or_else(|| Some(Instant::now())),
-                        true => Some(Instant::now()),
-                    };
-                }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return Some(Err(())),
-            }
-        }
-    }
-}
-
-/// All connections to servers.
-pub struct Pool {
-    idle: RefCell<HashMap<SocketAddr, Vec<ServerConnection>>>,
-    open_count: Rc<Cell<usize>>,
-    max_open: usize,
-    /// How many of these are reserved for releases.
-    reserved: usize,
-    settings: ConnectionSettings,
-    /// Decaying count of connections that broke right after reuse.
-    early_breaks: Cell<f64>,
-    /// A connection that was idle for longer is not reused.
-    reuse_limit: Cell<Duration>,
-    dispatches: Rc<Cell<u64>>,
-}
-
-impl Pool {
-    /// A pool of at most `max_open` connections, `reserved` of them for releases. Attempts that were written
-    /// completely are counted in `dispatches`.
-    pub fn new(
-        settings: ConnectionSettings,
-        max_open: usize,
-        reserved: usize,
-        dispatches: Rc<Cell<u64>>,
-    ) -> Rc<Self> {
-        let (early_breaks, reuse_limit) = (Cell::new(0.0), Cell::new(max_idle(settings)));
-        Rc::new(Pool {
-            idle: RefCell::default(),
-            open_count: Rc::default(),
-            max_open,
-            reserved,
-            settings,
-            early_breaks,
-            reuse_limit,
-            dispatches,
-        })
-    }
-
-    /// Records that a connection broke right after reuse, having been idle for this long.
-    pub fn record_early_break(&self, idle: Duration) {
-        self.early_breaks.set(self.early_breaks.get() + 1.0);
-        if self.early_breaks.get() >= EARLY_BREAK_LIMIT {
-            self.reuse_limit.set(self.reuse_limit.get().min(idle / 2).max(MIN_REUSE_LIMIT));
-        }
-    }
-
-    /// A connection to this server for an attempt: the one used last, or a new one. `None` if all are in use.
-    pub fn take(&self, server: &Server) -> Option<ServerConnection> {
-        self.take_within(server, self.max_open - self.reserved)
-    }
-
-    /// A connection for a release, which must not wait: it may also use the reserved ones.
-    pub fn take_reserved(&self, server: &Server) -> Option<ServerConnection> {
-        self.take_within(server, self.max_open)
-    }
-
-    fn take_within(&self, server: &Server, max_open: usize) -> Option<ServerConnection> {
-        let mut idle = self.idle.borrow_mut();
-        if let Some(connection) = idle.get_mut(&server.address).and_then(Vec::pop) {
-            if connection.idle_since.elapsed() <= self.reuse_limit.get() {
-                return Some(connection);
-            }
-            connection.set_close_code("idle");
-        }
-        if self.open_count.get() >= max_open {
-            let oldest = idle.values_mut().filter(|connections| !connections.is_empty());
-            let oldest = oldest.min_by_key(|connections| connections[0].idle_since)?;
-            oldest.remove(0).set_close_code("evicted");
-        }
-        let state =
-            Rc::new(ConnectionState { dispatches: self.dispatches.clone(), ..ConnectionState::default() });
-        let address = server.address;
-        let ready = Rc::<RefCell<Option<TcpStream>>>::default();
-        let connector = Connector {
-            address,
-            state: state.clone(),
-            open_count: self.open_count.clone(),
-            ready: ready.clone(),
-        };
-        let connect_timeout = self.connect_timeout();
-        let connector = awc::Connector::new()
-            .connector(connector)
-            .limit(1)
-            .timeout(connect_timeout)
-            .conn_keep_alive(max_idle(self.settings))
-            .conn_lifetime(Duration::from_secs(24 * 3_600))
-            .disconnect_timeout(Duration::from_millis(1));
-        let client = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .no_default_headers()
-            .finish();
-        Some(ServerConnection {
-            client,
-            address,
-            state,
-            ready,
-            connect_timeout,
-            idle_since: Instant::now(),
-            used: false,
-        })
-    }
-
-    /// How long a connection may take to come up.
-    pub fn connect_timeout(&self) -> Duration {
-        Duration::from_nanos(self.settings.connect.0)
-    }
-
-    /// How long after the news that a server drains an attempt may begin there.
-    pub fn drain_grace(&self) -> Duration {
-        Duration::from_nanos(self.settings.drain_grace.0).mul_f64(GRACE_SHARE)
-    }
-
-    /// Puts back a connection on which nothing was written since it was taken.
-    pub fn put_back_unused(&self, connection: ServerConnection) {
-        if connection.used {
-            self.idle.borrow_mut().entry(connection.address).or_default().push(connection);
-        }
-    }
-
-    /// A permit for a connection that is not opened through the pool; `None` if all connections are in use.
-    pub fn permit(&self) -> Option<ConnectionPermit> {
-        if self.open_count.get() >= self.max_open - self.reserved {
-            return None;
-        }
-        self.open_count.set(self.open_count.get() + 1);
-        Some(ConnectionPermit(self.open_count.clone()))
-    }
-
-    /// Puts back a connection whose request is done. It is closed instead if its server drains, or if bytes came after
-    /// the answer, which would be taken for the next answer.
-    pub fn put_back(&self, mut connection: ServerConnection) {
-        if connection.state.extra_bytes.get() {
-            return connection.set_close_code("unread-bytes");
-        }
-        // Taking the check drops its reference to the request, which ends with its attempt.
-        if connection
-            .state
-            .begin_check
-            .take()
-            .is_some_and(|check| check.server.draining_since.get().is_some())
-        {
-            return connection.set_close_code("server-left");
-        }
-        (connection.idle_since, connection.used) = (Instant::now(), true);
-        connection.set_close_code("server-closed");
-        self.idle.borrow_mut().entry(connection.address).or_default().push(connection);
-    }
-
-    /// Closes the idle connections to an address.
-    pub fn close_idle(&self, address: SocketAddr) {
-        for connection in self.idle.borrow_mut().remove(&address).into_iter().flatten() {
-            connection.set_close_code("server-left");
-        }
-    }
-
-    /// Starts a task that closes connections that were idle for too long.
-    pub fn start_sweeps(self: Rc<Self>) {
-        actix_rt::spawn(async move {
-            loop {
-                actix_rt::time::sleep(SWEEP_INTERVAL).await;
-                self.early_breaks.set(self.early_breaks.get() * EARLY_BREAK_DECAY);
-                let limit = max_idle(self.settings).min(self.reuse_limit.get().mul_f64(REUSE_LIMIT_GROWTH));
-                self.reuse_limit.set(limit);
-                let mut idle = self.idle.borrow_mut();
-                for connections in idle.values_mut() {
-                    let stale =
-                        connections.partition_point(|connection| connection.idle_since.elapsed() > limit);
-                    connections.drain(..stale).for_each(|connection| connection.set_close_code("idle"));
-                }
-                idle.retain(|_, connections| !connections.is_empty());
-            }
-        });
-    }
-}
