One call for each connection to a server: a late second answer reaches nobody else

Cause: over HTTP/1.1 an answer does not name its request, and what came on a connection behind a request's first byte was taken for its answer. A server's second answer, some milliseconds late, met the next request on the pooled connection. Reads (a second 202), releases (any second 2xx) and rejections (but for 20 ms) believed the same.

The one pair left, a repeat behind its sign of life, skips second 204s. Connections count in the limit from the moment they are asked for.

Tests: recordings that reused a connection were wrong by the new rule. The player gives a server's name to its next connection once one has ended behind its answer, and fails if a server gets a second call on a connection, in every recording. idle.txt asked for a close after an idle time and asks for the close behind the answer; full_of_connections.txt reopens the listener for its last request; stale.txt has each request on a connection of its own.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -119,8 +119,6 @@
     pub reason: &'static str,
     /// A healthy server rejected the request itself as unusable.
     pub unusable: bool,
-    /// How long its connection had been idle before; none if it was new.
-    pub idle: Option<Duration>,
     /// Its connection, for the log; none if there was none.
     pub connection: Option<ConnectionInfo>,
 }
@@ -137,7 +135,6 @@
             delivery,
             reason,
             unusable: false,
-            idle: None,
             connection: None,
         }
     }
@@ -154,8 +151,6 @@
     fn send(&self, order: AttemptOrder);
     /// Asks a server to release all that it holds for a request.
     fn release(&self, label: Rc<str>, at: Rc<Server>) -> Pin<Box<dyn Future<Output = ReleaseOutcome>>>;
-    /// Closes the idle connections to a server that drains, has left or has a new address.
-    fn retire(&self, server: &Server);
 }
 
 /// A task that is aborted on drop. Otherwise a timer could outlive its request by the whole budget.
@@ -460,10 +455,9 @@
 
     /// Applies an update of the server list.
     pub fn apply_list(&self, update: Update) {
-        let mut retired = Vec::new();
         let mut members = Vec::new();
-        // The first this many of `retired` have left the list.
-        let mut dropped = 0;
+        // Servers that a complete list no longer has.
+        let mut dropped = Vec::new();
         {
             let mut list = self.list.borrow_mut();
             let now = Instant::now();
@@ -472,11 +466,10 @@
                 let listed: HashSet<ServerId> = update.entries.iter().map(|e| server_id(&e.id)).collect();
                 for (id, server) in list.iter().filter(|(id, _)| !listed.contains(id)) {
                     mark_draining(server, now);
-                    retired.push((*id, server.clone()));
+                    dropped.push(*id);
                     self.start_times.borrow_mut().dropped(id.0, self.clock_time());
                 }
                 list.retain(|id, _| listed.contains(id));
-                dropped = retired.len();
             }
             for entry in &update.entries {
                 let Some(member) = self.list_member(entry, update.last_synced) else { continue };
@@ -495,13 +488,11 @@
                     server.draining_since.set(None);
                 } else {
                     mark_draining(&server, now);
-                    retired.push((member.server, server.clone()));
                 }
                 if let Some(old) = list.insert(member.server, server.clone())
                     && !Rc::ptr_eq(&old, &server)
                 {
                     mark_draining(&old, now);
-                    retired.push((member.server, old));
                 }
                 // Otherwise the list would grow with every server that ever joined.
                 if member.state == ServerState::Removed {
@@ -512,12 +503,9 @@
             }
         }
         self.start_times.borrow_mut().sweep(self.clock_time());
-        if let Some(servers) = self.servers.borrow().as_ref() {
-            retired.iter().for_each(|(_, server)| servers.retire(server));
-        }
         let on_list_update = self.on_list_update.borrow().clone();
         let updates = on_list_update.is_some().then(|| {
-            let dropped = retired[..dropped].iter().map(|(id, _)| ServerUpdate {
+            let dropped = dropped.iter().map(|id| ServerUpdate {
                 server: *id,
                 kind: None,
                 state: ServerState::Removed,
@@ -847,14 +835,13 @@
             }
             if verdict != Verdict::Ok && verdict != Verdict::Read {
                 log!(
-                    "attempt id={} try={} server={} role={} verdict={:?} reason={} idle_ms={} delivery={:?} port={} heard_ms={}",
+                    "attempt id={} try={} server={} role={} verdict={:?} reason={} delivery={:?} port={} heard_ms={}",
                     open.exchange.call.label,
                     attempt.0,
                     server.label,
                     if reads { "reader" } else { "writer" },
                     verdict,
                     result.reason,
-                    log_millis(result.idle),
                     result.delivery,
                     result.connection.map_or(0, |connection| connection.port),
                     log_millis(result.connection.and_then(|connection| connection.silent_for))
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -2,11 +2,11 @@
 //! sends releases. Takes no decision, and sends nothing twice: a connection that fails ends its attempt.
 
 mod closing;
+mod connections;
 mod events;
 mod framing;
 mod link;
 mod liveness;
-mod pool;
 mod raw;
 pub mod upgrade;
 
@@ -22,6 +22,7 @@
 use awc::http::header::{CONTENT_TYPE, HeaderValue};
 use bytes::Bytes;
 use closing::PendingCloses;
+use connections::Connections;
 use events::{EventBuffer, InvalidEvent, parse_report};
 use fawnstream_attempts::MAX_TRANSIT;
 use fawnstream_attempts::decisions::{NotBegun, SignOfLife};
@@ -30,7 +31,6 @@
 use futures_core::Stream;
 pub use link::ConnectionInfo;
 use link::{BeginCheck, Dialer, ObservedBody, ServerConnection};
-use pool::Pool;
 use raw::RawConnection;
 use serde::Deserialize;
 use shedrelay::{Attempt, ClassId, Evidence, RequestId, Role, Verdict};
@@ -58,11 +58,6 @@
 /// An attempt with less time than this is not begun. No server answers in that time, and the attempt's end would be in
 /// transit together with the request's final answer, which says that the attempt has ended.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(20);
-/// A server may answer a request a second time, some milliseconds late. A rejection that comes this soon after the
-/// previous answer on the same connection may be such a duplicate, and proves nothing about the request in flight.
-const STRAY_ANSWER_WINDOW: Duration = Duration::from_millis(20);
-/// A connection that breaks within this time after its reuse was broken before.
-const EARLY_BREAK_WINDOW: Duration = Duration::from_millis(100);
 
 /// Time within which the close of a connection arrives at its server, unless the network drops it.
 pub fn close_arrives_within(settings: shedrelay_settings::ConnectionSettings) -> Duration {
@@ -72,7 +67,7 @@
 /// The client of the servers.
 pub struct ServerClient {
     core: Rc<Core>,
-    pool: Rc<Pool>,
+    connections: Rc<Connections>,
     handover: Rc<Handover>,
     pending_closes: Rc<PendingCloses>,
     release_timeout: Duration,
@@ -87,17 +82,16 @@
         lease_config: LeaseConfig,
         handover: Rc<Handover>,
     ) -> Rc<Self> {
-        let pool = Pool::new(
+        let connections = Connections::new(
             settings,
             max_connections,
             lease_config.max_concurrent_releases,
             core.dispatch_counter(),
         );
-        pool.clone().start_sweeps();
         let pending_closes = PendingCloses::new(close_arrives_within(settings));
         Rc::new(ServerClient {
             core,
-            pool,
+            connections,
             handover,
             pending_closes,
             release_timeout: lease_config.release_timeout(),
@@ -107,7 +101,7 @@
     fn context(&self) -> AttemptContext<'_> {
         AttemptContext {
             core: &self.core,
-            pool: &self.pool,
+            connections: &self.connections,
             handover: &self.handover,
             pending_closes: &self.pending_closes,
         }
@@ -122,7 +116,7 @@
         serve_client: impl FnOnce(ClientEnd, TcpStream) + 'static,
     ) -> Option<Box<dyn FnOnce()>> {
         let ReceivedStream { state: form, client, server } = carried;
-        let raw = RawConnection::new(server, form.framing, self.pool.permit()?)?;
+        let raw = RawConnection::new(server, form.framing, self.connections.permit()?)?;
         let events = EventBuffer::resume(form.event.0, form.done, form.kept, form.used)?;
         let class = self.core.names().classes.iter().position(|class| *class == form.class);
         let age = Duration::from_millis(form.age_ms.min(MAX_REQUEST_AGE_MS));
@@ -148,13 +142,14 @@
 
 impl crate::core::Servers for ServerClient {
     fn send(&self, mut order: AttemptOrder) {
-        let (core, pool, handover) = (self.core.clone(), self.pool.clone(), self.handover.clone());
+        let (core, handover) = (self.core.clone(), self.handover.clone());
+        let connections = self.connections.clone();
         let pending_closes = self.pending_closes.clone();
         actix_rt::spawn(async move {
             let (request, attempt) = (order.request, order.attempt);
             let mut context = AttemptContext {
                 core: &core,
-                pool: &pool,
+                connections: &connections,
                 handover: &handover,
                 pending_closes: &pending_closes,
             };
@@ -177,32 +172,22 @@
                     return core.attempt_ended(request, attempt, AttemptResult::unsent(Verdict::Cancelled, "cancelled"));
                 }
             }
-            let Some(connection) = pool.take(&order.server) else {
+            let Some(connection) = connections.open(&order.server) else {
                 return core.attempt_ended(
                     request,
                     attempt,
                     AttemptResult::unsent(Verdict::Moot, "no-sockets"),
                 );
             };
-            let (idle, observer) = (connection.idle_time(), connection.observer());
-            let sent_at = Instant::now();
+            let observer = connection.observer();
             let ended = run_attempt(&mut context, order, connection).await;
-            let ended = ended.map(|ended| AttemptResult { idle, connection: Some(observer.info()), ..ended });
-            if let (Some(idle), Some("reset" | "closed")) = (idle, ended.as_ref().map(|ended| ended.reason))
-                && sent_at.elapsed() < EARLY_BREAK_WINDOW
-            {
-                pool.record_early_break(idle);
-            }
+            let ended = ended.map(|ended| AttemptResult { connection: Some(observer.info()), ..ended });
             context.report_end(request, attempt, ended);
         });
     }
 
     fn release(&self, label: Rc<str>, at: Rc<Server>) -> Pin<Box<dyn Future<Output = ReleaseOutcome>>> {
-        Box::pin(release(self.pool.clone(), label, at, self.release_timeout))
-    }
-
-    fn retire(&self, server: &Server) {
-        self.pool.close_idle(server.address);
+        Box::pin(release(self.connections.clone(), label, at, self.release_timeout))
     }
 }
 
@@ -214,7 +199,7 @@
 /// What an attempt uses of the router.
 struct AttemptContext<'a> {
     core: &'a Rc<Core>,
-    pool: &'a Rc<Pool>,
+    connections: &'a Rc<Connections>,
     handover: &'a Rc<Handover>,
     pending_closes: &'a Rc<PendingCloses>,
 }
@@ -282,7 +267,7 @@
     /// Closes the connection of an attempt that may still run at its server, if another attempt may follow.
     fn abandon(&self, order: &AttemptOrder, connection: &ServerConnection) {
         if connection.delivery().may_have_run() && order.exchange.awaits_answer() {
-            let permit = self.pool.permit();
+            let permit = self.connections.permit();
             self.pending_closes
                 .begin(order.request, permit.and_then(|permit| Some((connection.detach()?, permit))));
         }
@@ -298,7 +283,7 @@
     ) -> Result<(), AttemptResult> {
         let address = order.server.address;
         let left = begin_by.saturating_duration_since(Instant::now());
-        let timeout = (left / 2).min(self.pool.connect_timeout());
+        let timeout = (left / 2).min(self.connections.connect_timeout());
         let probe = liveness::probe(connection, address, &order.exchange.call.label);
         let result = tokio::select! {
             biased;
@@ -364,7 +349,7 @@
         framing: Framing,
         client: TcpStream,
     ) -> Option<RawConnection> {
-        let raw = RawConnection::new(server, framing, self.pool.permit()?)?;
+        let raw = RawConnection::new(server, framing, self.connections.permit()?)?;
         let end = self.core.reattach_client(order.request, &order.exchange);
         self.core.serve_detached(end, client);
         Some(raw)
@@ -429,18 +414,17 @@
     mut order: AttemptOrder,
     connection: ServerConnection,
 ) -> Option<AttemptResult> {
-    let (core, pool) = (context.core, context.pool);
+    let core = context.core;
     let useful_until = order.answer_by.checked_sub(MIN_ATTEMPT_TIME).unwrap_or(order.answer_by);
     let check = BeginCheck {
         server: order.server.clone(),
         exchange: order.exchange.clone(),
-        drain_grace: pool.drain_grace(),
+        drain_grace: context.connections.drain_grace(),
         begin_by: order.repeat.map_or(useful_until, |repeat| repeat.begin_by.min(useful_until)),
         needs_sign_of_life: order.repeat.is_some_and(|repeat| repeat.needs_sign_of_life),
     };
     if let Some(forbidden) = check.forbidden(SignOfLife::NotNeeded) {
         let (verdict, reason) = not_begun(forbidden);
-        pool.put_back_unused(connection);
         return Some(AttemptResult::unsent(verdict, reason));
     }
     if check.needs_sign_of_life
@@ -517,7 +501,7 @@
             return match relay(context, &mut order, source, &mut events, None).await {
                 RelayEnd::Ended(ended) => {
                     if ended.verdict == Verdict::Ok {
-                        pool.put_back(connection);
+                        connection.close();
                     } else {
                         connection.set_close_code(ended.reason);
                         context.abandon(&order, &connection);
@@ -547,13 +531,11 @@
         (status, _) if status.is_client_error() => (Verdict::Moot, "unusable"),
         _ => (Verdict::Error, "bad-answer"),
     };
-    let stray = rejected && connection.idle_time().is_some_and(|idle| idle < STRAY_ANSWER_WINDOW);
     let body = read_small_body(&mut answer).await;
     // An answer that stays incomplete leaves the attempt in flight until its connection is closed here.
-    let evidence = if body.is_some() && !stray { Evidence::Server } else { Evidence::Router };
-    let delivery = if stray { Delivery::Written } else { Delivery::Arrived };
+    let evidence = if body.is_some() { Evidence::Server } else { Evidence::Router };
     match body {
-        Some(_) if !connection.ended() => pool.put_back(connection),
+        Some(_) if !connection.ended() => connection.close(),
         _ => {
             connection.set_close_code("body-broken");
             context.abandon(&order, &connection);
@@ -571,7 +553,7 @@
         kept: cached_tokens,
         report: load_report,
         unusable: reason == "unusable",
-        ..AttemptResult::new(verdict, evidence, delivery, reason)
+        ..AttemptResult::new(verdict, evidence, Delivery::Arrived, reason)
     })
 }
 
@@ -784,16 +766,16 @@
 /// Asks a server to release all that it holds for a request. Only an answer counts, not a write: a dead machine
 /// accepts bytes too.
 async fn release(
-    pool: Rc<Pool>,
+    connections: Rc<Connections>,
     label: Rc<str>,
     server: Rc<Server>,
     release_timeout: Duration,
 ) -> ReleaseOutcome {
-    let Some(connection) = pool.take_reserved(&server) else { return ReleaseOutcome::Unsent };
+    let Some(connection) = connections.open_reserved(&server) else { return ReleaseOutcome::Unsent };
     let uri = format!("http://{}/bootstrap/rooms/{label}", server.address);
     connection.prepare_request();
     // Logged if the connection ends here, because this future is dropped after another server answered first or
-    // because this server did not answer in time. A connection that is put back gets a new code.
+    // because this server did not answer in time.
     connection.set_close_code("release-failed");
     let answered = {
         let mut body = std::pin::pin!(async {
@@ -806,6 +788,6 @@
         return ReleaseOutcome::Failed;
     }
     server.last_heard.set(Some(Instant::now()));
-    pool.put_back(connection);
+    connection.close();
     ReleaseOutcome::Answered
 }
--- a/router/src/servers/closing.rs
+++ b/router/src/servers/closing.rs
@@ -2,8 +2,8 @@
 //! ended such a connection too, or when the close must have reached it: over a faster path the new attempt could
 //! otherwise overtake the close and run beside the old one.
 
+use super::connections::ConnectionPermit;
 use super::link::abort;
-use super::pool::ConnectionPermit;
 use shedrelay::RequestId;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- a/router/src/servers/framing.rs
+++ b/router/src/servers/framing.rs
@@ -13,6 +13,8 @@
 const MAX_LINE: usize = 256;
 /// Most 1xx answers that may come before the final one.
 const MAX_INTERIM_ANSWERS: u32 = 16;
+/// Most second answers to a release that may come before the answer.
+const MAX_SKIPPED_RELEASES: u32 = 16;
 /// Most headers of an answer.
 const MAX_HEADERS: usize = 96;
 
@@ -51,6 +53,8 @@
     /// An incomplete head, size line and chunk, or trailer line.
     buffer: Vec<u8>,
     interim_answers: u32,
+    /// Whether answers to an earlier release are skipped, and how many were.
+    skipped_releases: Option<u32>,
     /// Bytes came after the answer.
     pub extra_bytes: bool,
 }
@@ -58,7 +62,25 @@
 impl AnswerParser {
     /// A parser at the start of an answer.
     pub fn new() -> Self {
-        AnswerParser { state: State::Head, buffer: Vec::new(), interim_answers: 0, extra_bytes: false }
+        AnswerParser {
+            state: State::Head,
+            buffer: Vec::new(),
+            interim_answers: 0,
+            skipped_releases: None,
+            extra_bytes: false,
+        }
+    }
+
+    /// A parser for the answer to an attempt that follows an answered release on its connection. An attempt is never
+    /// answered with 204, so each 204 is a second answer to the release and is skipped.
+    pub fn after_release() -> Self {
+        AnswerParser { skipped_releases: Some(0), ..AnswerParser::new() }
+    }
+
+    /// Whether anything has come that belongs to the answer. After a release, an incomplete head may be a second answer
+    /// to that.
+    pub fn answer_started(&self) -> bool {
+        self.skipped_releases.is_none() || self.state != State::Head || self.interim_answers > 0
     }
 
     /// The state within a chunked answer, for a hand-over; `None` if the answer is not chunked or has ended.
@@ -191,7 +213,7 @@
         Ok(&bytes[end - before..])
     }
 
-    /// Parses the buffered head; returns the state after it, or `None` after an interim (1xx) answer.
+    /// Parses the buffered head; returns the state after it, or `None` after an answer that is skipped.
     fn parse_head(&mut self, end: usize) -> Result<Option<State>, AnswerError> {
         let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
         let mut head = httparse::Response::new(&mut headers);
@@ -199,6 +221,10 @@
             return Err(AnswerError::Head);
         }
         let status = head.code.ok_or(AnswerError::Head)?;
+        if let Some(skipped) = self.skipped_releases.as_mut().filter(|_| status == 204) {
+            *skipped += 1;
+            return if *skipped > MAX_SKIPPED_RELEASES { Err(AnswerError::Head) } else { Ok(None) };
+        }
         if status < 200 {
             self.interim_answers += 1;
             // 101: a protocol switch was never requested.
--- a/router/src/servers/link.rs
+++ b/router/src/servers/link.rs
@@ -1,6 +1,7 @@
 //! A connection to a server. Each has an awc client of its own, limited to that one connection. This shows what awc
 //! hides: which connection carries an attempt, and whether the attempt's last byte was written.
 
+use super::connections::ConnectionPermit;
 use super::framing::{AnswerError, AnswerParser};
 use crate::core::Server;
 use crate::exchange::Exchange;
@@ -62,6 +63,9 @@
     }
 }
 
+/// The close code of a connection that has carried its answer. It is not logged: such connections end all the time.
+const ANSWERED: &str = "answered";
+
 /// State of a connection and of the request that is on it.
 #[derive(Default)]
 struct ConnectionState {
@@ -95,6 +99,8 @@
     parser: RefCell<Option<AnswerParser>>,
     /// Validated bytes that awc has not read yet.
     unread: Cell<usize>,
+    /// The request follows a release on the same connection.
+    follows_release: Cell<bool>,
 }
 
 impl ConnectionState {
@@ -112,10 +118,10 @@
         }
     }
 
-    /// Records that something came from the server.
-    fn record_read(&self) {
+    /// Records that something came from the server. `answered` tells whether any of it belongs to the request.
+    fn record_read(&self, answered: bool) {
         let now = Instant::now();
-        self.answered.set(true);
+        self.answered.set(self.answered.get() || answered);
         self.last_read.set(Some(now));
         if let Some(check) = self.begin_check.borrow().as_ref() {
             check.server.last_heard.set(Some(now));
@@ -203,7 +209,6 @@
 pub struct Wire {
     address: SocketAddr,
     state: Rc<ConnectionState>,
-    open_count: Rc<Cell<usize>>,
     /// Validated bytes that wait for awc.
     validated: Vec<u8>,
     /// How many of them awc has read.
@@ -253,13 +258,15 @@
 
 impl Drop for Wire {
     fn drop(&mut self) {
-        self.open_count.set(self.open_count.get() - 1);
         // The socket has no other user: the `ServerConnection` may live on for a moment, but would open a new one.
         if let Some(stream) = self.state.stream.take().filter(|_| self.state.attempt_in_flight()) {
             abort(stream);
         }
-        let code =
-            if self.state.close_code.get().is_empty() { "cancelled" } else { self.state.close_code.get() };
+        let code = match self.state.close_code.get() {
+            ANSWERED => return,
+            "" => "cancelled",
+            code => code,
+        };
         let (address, port) = (self.address, self.state.port.get());
         log!(
             "connection peer=server address={address} port={port} code={code} heard_ms={}",
@@ -306,7 +313,7 @@
                 this.state.answer_error.set(Some(error));
             }
             this.state.extra_bytes.set(parser.extra_bytes);
-            this.state.record_read();
+            this.state.record_read(parser.answer_started());
             if !parser.partial() {
                 this.partial_timer = None;
             } else if this.partial_timer.is_none() || !this.validated.is_empty() {
@@ -334,7 +341,11 @@
         let written = this.poll_socket(|stream| stream.poll_write(cx, buf));
         let Poll::Ready(Ok(size)) = written else { return written };
         if !this.state.begun.replace(true) {
-            *this.state.parser.borrow_mut() = Some(AnswerParser::new());
+            let parser = match this.state.follows_release.get() {
+                true => AnswerParser::after_release(),
+                false => AnswerParser::new(),
+            };
+            *this.state.parser.borrow_mut() = Some(parser);
         }
         if this.state.body_taken.get() && size == buf.len() {
             this.state.record_written();
@@ -366,7 +377,6 @@
 struct Connector {
     address: SocketAddr,
     state: Rc<ConnectionState>,
-    open_count: Rc<Cell<usize>>,
     /// A socket that a [`Dialer`] connected ahead of time.
     ready: Rc<RefCell<Option<TcpStream>>>,
 }
@@ -379,7 +389,7 @@
     actix_service::always_ready!();
 
     fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
-        let Connector { address, state, open_count, ready } = self.clone();
+        let Connector { address, state, ready } = self.clone();
         Box::pin(async move {
             let ready = ready.take();
             let stream = match ready {
@@ -387,7 +397,6 @@
                 None => TcpStream::connect(address).await.map_err(ConnectError::Io)?,
             };
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            open_count.set(open_count.get() + 1);
             state.ended.set(false);
             state.last_read.set(None);
             state.port.set(stream.local_addr().map_or(0, |address| address.port()));
@@ -395,7 +404,6 @@
             let wire = Wire {
                 address,
                 state,
-                open_count,
                 validated: Vec::new(),
                 consumed: 0,
                 partial_timer: None,
@@ -427,7 +435,8 @@
     }
 }
 
-/// An awc client with one connection, for one request at a time.
+/// An awc client with one connection, for one attempt or one release. The attempt may follow a release that shows that
+/// its server runs.
 pub struct ServerConnection {
     /// The awc client.
     pub client: awc::Client,
@@ -436,28 +445,24 @@
     /// A socket that was connected ahead of its first request.
     ready: Rc<RefCell<Option<TcpStream>>>,
     connect_timeout: Duration,
-    idle_since: Instant,
-    used: bool,
+    _permit: ConnectionPermit,
 }
 
 impl ServerConnection {
-    /// A connection whose socket is connected for its first request. While it is open, it counts in `open_count`.
+    /// A connection that is opened for its first request.
     pub fn new(
         address: SocketAddr,
         connect_timeout: Duration,
-        keep_alive: Duration,
-        open_count: Rc<Cell<usize>>,
+        permit: ConnectionPermit,
         dispatches: Rc<Cell<u64>>,
     ) -> Self {
         let state = Rc::new(ConnectionState { dispatches, ..ConnectionState::default() });
         let ready = Rc::<RefCell<Option<TcpStream>>>::default();
-        let connector = Connector { address, state: state.clone(), open_count, ready: ready.clone() };
+        let connector = Connector { address, state: state.clone(), ready: ready.clone() };
         let connector = awc::Connector::new()
             .connector(connector)
             .limit(1)
             .timeout(connect_timeout)
-            .conn_keep_alive(keep_alive)
-            .conn_lifetime(Duration::from_secs(24 * 3_600))
             .disconnect_timeout(Duration::from_millis(1));
         let client = awc::Client::builder()
             .connector(connector)
@@ -465,55 +470,31 @@
             .disable_redirects()
             .no_default_headers()
             .finish();
-        ServerConnection {
-            client,
-            address,
-            state,
-            ready,
-            connect_timeout,
-            idle_since: Instant::now(),
-            used: false,
-        }
+        ServerConnection { client, address, state, ready, connect_timeout, _permit: permit }
     }
 
-    /// The server's address.
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    /// Whether its socket has carried a request.
+    fn used(&self) -> bool {
+        self.state.stream.borrow().is_some()
     }
 
-    /// Whether it has carried a request.
-    pub fn used(&self) -> bool {
-        self.used
-    }
-
-    /// Since when it has been without a request.
-    pub fn idle_since(&self) -> Instant {
-        self.idle_since
-    }
-
-    /// Bytes came that belong to no answer.
-    pub fn has_extra_bytes(&self) -> bool {
-        self.state.extra_bytes.get()
-    }
-
-    /// Ends the request on it: from now on it is idle. Drops its reference to the request, which ends with its attempt.
-    /// Returns whether its server drains.
-    pub fn finish_request(&mut self) -> bool {
-        let check = self.state.begin_check.take();
-        (self.idle_since, self.used) = (Instant::now(), true);
-        check.is_some_and(|check| check.server.draining_since.get().is_some())
+    /// Closes the connection after a complete answer.
+    pub fn close(self) {
+        // The attempt is over, so its connection needs no abort.
+        self.state.begin_check.take();
+        self.set_close_code(if self.state.extra_bytes.get() { "unread-bytes" } else { ANSWERED });
     }
 
     /// Connects the socket ahead of the first request.
     pub fn dialer(&self) -> Dialer {
-        let is_up = self.used || self.state.stream.borrow().is_some();
-        let ready = (!is_up).then(|| self.ready.clone());
+        let ready = (!self.used()).then(|| self.ready.clone());
         Dialer { address: self.address, ready, connect_timeout: self.connect_timeout }
     }
 
     /// Prepares for an attempt.
     pub fn prepare_attempt(&self, check: BeginCheck, body: Bytes) -> ObservedBody {
         self.prepare_request();
+        self.state.follows_release.set(self.used());
         self.state.body_taken.set(body.is_empty());
         *self.state.begin_check.borrow_mut() = Some(check);
         ObservedBody { size: body.len() as u64, body: Some(body), state: self.state.clone() }
@@ -531,11 +512,6 @@
         *state.begin_check.borrow_mut() = None;
     }
 
-    /// For how long it has been idle; `None` if its socket is yet to be connected.
-    pub fn idle_time(&self) -> Option<Duration> {
-        self.used.then(|| self.idle_since.elapsed())
-    }
-
     /// How far the request has provably come.
     pub fn delivery(&self) -> Delivery {
         match (self.state.answered.get(), self.state.written_at.get()) {
--- a/router/src/servers/raw.rs
+++ b/router/src/servers/raw.rs
@@ -1,8 +1,8 @@
 //! A stream's connection to its server without awc: one that another process handed over, or declined to take over.
 
+use super::connections::ConnectionPermit;
 use super::framing::{AnswerError, AnswerParser, take_chunk};
 use super::link::{PARTIAL_TIMEOUT, READ_SIZE};
-use super::pool::ConnectionPermit;
 use crate::handover::Framing;
 use bytes::Bytes;
 use std::io;
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -20,13 +20,15 @@
     stream: TcpStream,
     /// Bytes received and not yet consumed by a step.
     received: Vec<u8>,
+    /// The first line of the last call that a server took on it.
+    last_call: Option<String>,
 }
 
 impl Peer {
     fn new(stream: TcpStream) -> Self {
         stream.set_nodelay(true).unwrap();
         stream.set_read_timeout(Some(Duration::from_millis(50))).unwrap();
-        Peer { stream, received: Vec::new() }
+        Peer { stream, received: Vec::new(), last_call: None }
     }
 
     /// Reads once; false at the end of the connection.
@@ -43,6 +45,26 @@
     }
 }
 
+impl Peer {
+    /// Notes a call that a server took. A connection carries one call; an attempt may follow a release, which asks
+    /// whether the server runs.
+    fn note_call(&mut self, name: &str, message: &str) {
+        let line = message.lines().next().unwrap_or_default();
+        if let Some(earlier) = &self.last_call {
+            assert!(
+                earlier.starts_with("DELETE ") && line.starts_with("POST "),
+                "{name}: `{line}` on the connection of `{earlier}`"
+            );
+        }
+        self.last_call = Some(line.to_owned());
+    }
+}
+
+/// Whether a peer is a server, whose connections carry one call each.
+fn is_server(name: &str) -> bool {
+    name.starts_with(['r', 'w'])
+}
+
 /// The length of the prefix of `text` that matches; `{*}` in a pattern matches any text within a line.
 fn match_prefix(pattern: &str, text: &str) -> Option<usize> {
     let Some((fixed, rest)) = pattern.split_once("{*}") else {
@@ -94,6 +116,8 @@
     /// The folder that two programs share. Its path is short, because that of a Unix socket is limited to 107 bytes.
     shared_folder: PathBuf,
     listeners: HashMap<String, TcpListener>,
+    /// Addresses of servers that listen no more.
+    shut: HashMap<String, std::net::SocketAddr>,
     /// Connections that fill a server's backlog.
     fillers: Vec<TcpStream>,
     peers: HashMap<String, Peer>,
@@ -118,6 +142,7 @@
             inherited,
             shared_folder,
             listeners,
+            shut: HashMap::new(),
             fillers: Vec::new(),
             peers,
             folder,
@@ -261,6 +286,17 @@
         self.peers.get_mut(name).unwrap()
     }
 
+    /// Whether a server's connection has ended with nothing unread. Its next call then comes on a new connection, which
+    /// takes over the name.
+    fn replace_ended(&mut self, name: &str) -> bool {
+        let ended = is_server(name)
+            && self.peers.get(name).is_some_and(|peer| peer.received.is_empty() && peer.last_call.is_some());
+        if ended {
+            self.peers.remove(name);
+        }
+        ended
+    }
+
     /// The deadline of a step that begins now.
     fn step_deadline(&self) -> Instant {
         self.deadline.unwrap_or_else(|| Instant::now() + STEP_TIMEOUT)
@@ -322,7 +358,15 @@
                 listener.set_nonblocking(false).unwrap();
             }
             "close" => drop(self.peers.remove(rest)),
-            "shut" => drop(self.listeners.remove(rest)),
+            "shut" => {
+                let listener = self.listeners.remove(rest).unwrap();
+                self.shut.insert(rest.to_owned(), listener.local_addr().unwrap());
+            }
+            // A server that was shut listens again.
+            "reopen" => {
+                let address = self.shut.remove(rest).unwrap();
+                self.listeners.insert(rest.to_owned(), TcpListener::bind(address).unwrap());
+            }
             // Connections to this server are never established, as to an unreachable machine.
             "deaf" => {
                 let listener = &self.listeners[rest];
@@ -386,8 +430,8 @@
             "take" => {
                 // Consumes a complete request, whatever its content.
                 let until = Instant::now() + STEP_TIMEOUT;
-                let peer = self.peer(rest);
                 loop {
+                    let peer = self.peer(rest);
                     let received = String::from_utf8(peer.received.clone()).unwrap();
                     let size =
                         received.split_once("content-length: ").and_then(|(_, size)| size.split_once("\r\n"));
@@ -396,13 +440,17 @@
                         let total = body + size.parse::<usize>().unwrap();
                         if received.len() >= total {
                             peer.received.drain(..total);
+                            if is_server(rest) {
+                                peer.note_call(rest, &received);
+                            }
                             return;
                         }
                     }
-                    assert!(
-                        peer.read() && Instant::now() < until,
-                        "{rest}: wanted a request, got\n{received}"
-                    );
+                    let open = peer.read();
+                    if !open && self.replace_ended(rest) {
+                        continue;
+                    }
+                    assert!(open && Instant::now() < until, "{rest}: wanted a request, got\n{received}");
                 }
             }
             "half" => self.peer(rest).stream.shutdown(Shutdown::Write).unwrap(),
@@ -464,8 +512,8 @@
             "get" => {
                 let until = self.step_deadline();
                 let wanted = sort_fields(body).unwrap_or_else(|| body.to_owned());
-                let peer = self.peer(rest);
                 loop {
+                    let peer = self.peer(rest);
                     let received = String::from_utf8(peer.received.clone()).unwrap();
                     let message = if sort_fields(body).is_some() {
                         sort_fields(&received)
@@ -474,9 +522,15 @@
                     };
                     if let Some(size) = message.and_then(|message| match_prefix(&wanted, &message)) {
                         peer.received.drain(..size);
+                        if is_server(rest) {
+                            peer.note_call(rest, &received);
+                        }
                         return;
                     }
                     let open = peer.read();
+                    if !open && self.replace_ended(rest) {
+                        continue;
+                    }
                     assert!(open && Instant::now() < until, "{rest}: wanted\n{wanted}\ngot\n{received}");
                 }
             }
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -21,8 +21,6 @@
 /// Timeouts of connections to servers and of what servers hold.
 #[derive(Clone, Copy)]
 pub struct ConnectionSettings {
-    /// Idle time after which servers close a connection, at the latest.
-    pub idle: Span,
     /// Connect timeout.
     pub connect: Span,
     /// Time after the notice that a server drains by which a router must have stopped sending there.
@@ -56,8 +54,6 @@
 #[derive(Deserialize)]
 struct Ceilings {
     cancel: bool,
-    #[serde(default = "usual_idle")]
-    conn_idle: u64,
     #[serde(default = "usual_connect")]
     connect_timeout: u64,
     max_attempts: u32,
@@ -118,10 +114,6 @@
     quota_per_s: f64,
 }
 
-fn usual_idle() -> u64 {
-    15_000_000_000
-}
-
 fn usual_release() -> u64 {
     500_000_000
 }
@@ -155,7 +147,6 @@
     /// The settings for connections to servers.
     pub fn connection_settings(&self) -> ConnectionSettings {
         ConnectionSettings {
-            idle: Span(self.ceilings.conn_idle),
             connect: Span(self.ceilings.connect_timeout),
             drain_grace: Span(self.rules.drain_grace),
             release_within: Span(self.extra.release_within),
