Refuse requests that are complete too late after SIGTERM or a drain

Cause: what is complete was begun, however long ago the stop had begun. The listener bounds accepts, idle connections, and first bytes; the time of a request counts from its last byte, and nothing asked there whether an answer could still end.

--- a/router/src/clients.rs
+++ b/router/src/clients.rs
@@ -67,6 +67,9 @@
     /// It follows an answer that announced the close of the connection.
     #[error("the connection ended with the answer before")]
     AfterClose,
+    /// It was complete too long after the start of a drain or a stop.
+    #[error("the router takes no more requests")]
+    Draining,
 }
 
 impl RequestError {
@@ -81,7 +84,9 @@
                 StatusCode::BAD_REQUEST
             }
             RequestError::DuplicateId => StatusCode::CONFLICT,
-            RequestError::BodyMemoryFull | RequestError::AfterClose => StatusCode::SERVICE_UNAVAILABLE,
+            RequestError::BodyMemoryFull | RequestError::AfterClose | RequestError::Draining => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
         }
     }
 }
@@ -159,9 +164,10 @@
     }
 }
 
-/// Hands a request to the core, unless its client has left or sends it again elsewhere. A request's last bytes and the
-/// close of its connection may arrive together. After an answer that announced the close, the server library still
-/// processes requests that it has read behind it, while the client sends them again on another connection.
+/// Hands a request to the core, unless its client has left or sends it again elsewhere, or it comes too late. A request's
+/// last bytes and the close of its connection may arrive together. After an answer that announced the close, the server
+/// library still processes requests that it has read behind it, while the client sends them again on another connection.
+/// What is complete long after SIGTERM is refused, not begun: its answer might be cut by SIGKILL.
 pub fn submit(shared: &Shared, request: &Request, call: Call) -> Result<ClientEnd, RequestError> {
     let conn = request.conn_data::<Rc<Conn>>();
     if conn.is_some_and(|conn| conn.client_closed.get()) {
@@ -170,6 +176,9 @@
     if conn.is_some_and(|conn| conn.close_announced.get()) {
         return Err(RequestError::AfterClose);
     }
+    if !shared.lifecycle.takes_requests() {
+        return Err(RequestError::Draining);
+    }
     shared.core.submit(Exchange::new(call)).ok_or(RequestError::DuplicateId)
 }
 
--- a/router/src/clients/listener.rs
+++ b/router/src/clients/listener.rs
@@ -4,7 +4,7 @@
 use super::accept_error::AcceptError;
 use super::conn::{ClientStream, Conn};
 use crate::core::Core;
-use crate::lifecycle::{Lifecycle, Phase};
+use crate::lifecycle::{Lifecycle, Phase, TAKE_AFTER_DRAIN};
 use crate::live::LiveConnections;
 use crate::log;
 use actix_codec::Framed;
@@ -38,9 +38,6 @@
 /// How long a connection without a request stays open during a drain. Most clients send another request in this time,
 /// and their connection closes with its answer. A new connection waits as long for its first request.
 const DRAIN_IDLE_TIMEOUT: Duration = Duration::from_millis(600);
-/// How long after the start of a drain a head that has begun may take to complete. 4 s after a drain no connection may
-/// carry a request from the last 2 s.
-const DRAIN_HEAD_TIMEOUT: Duration = Duration::from_millis(1_900);
 /// Most connections in the system's accept queue.
 const ACCEPT_BACKLOG: u32 = 1_024;
 /// By the end of this time the runtime has polled its sockets once more.
@@ -116,7 +113,7 @@
 
     /// Waits until the router has to stop accepting connections.
     async fn accept_end(&self) {
-        let _ = self.lifecycle.subscribe().wait_for(|(phase, _)| *phase == Phase::Stopping).await;
+        let _ = self.lifecycle.subscribe().wait_for(|status| status.phase == Phase::Stopping).await;
         if !self.inherited {
             actix_rt::time::sleep(ACCEPT_AFTER_STOP).await;
         }
@@ -327,7 +324,7 @@
     if shared.inherited {
         // Until this process has started, the previous one accepts the connections.
         let starting = |phase: &Phase| matches!(phase, Phase::Starting { .. });
-        let _ = shared.lifecycle.subscribe().wait_for(|(phase, _)| !starting(phase)).await;
+        let _ = shared.lifecycle.subscribe().wait_for(|status| !starting(&status.phase)).await;
     }
     let _accepting = Accepting::new(&shared.accepting);
     let mut accept_end = std::pin::pin!(shared.accept_end());
@@ -407,9 +404,7 @@
         let now = Instant::now();
         let drain_start = shared.lifecycle.draining_since();
         let head_due = |due: Instant| {
-            drain_start
-                .filter(|_| conn.head_started())
-                .map_or(due, |start| due.min(start + DRAIN_HEAD_TIMEOUT))
+            drain_start.filter(|_| conn.head_started()).map_or(due, |start| due.min(start + TAKE_AFTER_DRAIN))
         };
         let drain_close = drain_start
             .map(|start| start + DRAIN_IDLE_TIMEOUT)
--- a/router/src/clients/openai/api.rs
+++ b/router/src/clients/openai/api.rs
@@ -73,7 +73,12 @@
 
 impl From<RequestError> for ApiError {
     fn from(error: RequestError) -> Self {
-        ApiError { status: error.status(), close: true, ..ApiError::invalid(None, error.to_string()) }
+        match error {
+            RequestError::Draining => ApiError { close: true, ..ApiError::overloaded() },
+            error => {
+                ApiError { status: error.status(), close: true, ..ApiError::invalid(None, error.to_string()) }
+            }
+        }
     }
 }
 
--- a/router/src/lifecycle.rs
+++ b/router/src/lifecycle.rs
@@ -1,9 +1,16 @@
 //! The router's life cycle: a state machine shared by health checks, the operators' address, the listeners and the
 //! signal handlers. [`Phase::next`] defines all transitions.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 use tokio::sync::watch;
 
+/// How long after SIGTERM a request may still become complete and be taken. A later one might not be answered before
+/// SIGKILL. The platform excuses what came within 700 ms; this process may be held up for 150 ms, with a slack of 50.
+const TAKE_AFTER_STOP: Duration = Duration::from_millis(600);
+/// How long after an operator's drain a request may still become complete and be taken. 4 s after a drain no connection
+/// may carry a request from the last 2 s.
+pub const TAKE_AFTER_DRAIN: Duration = Duration::from_millis(1_900);
+
 /// A state of the life cycle.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -73,50 +80,76 @@
     }
 }
 
-/// The router's current phase, and since when it has held.
+/// The current phase and when it began.
+#[derive(Clone, Copy, Debug)]
+pub struct Status {
+    /// The phase.
+    pub phase: Phase,
+    /// When it began.
+    pub phase_since: Instant,
+    /// When client connections began to be drained, if they are: a stop may follow a standby.
+    pub draining_since: Option<Instant>,
+}
+
+impl Status {
+    /// The status after a change to another phase.
+    fn changed_to(self, phase: Phase, now: Instant) -> Self {
+        let draining_since = phase.is_draining().then(|| self.draining_since.unwrap_or(now));
+        Status { phase, phase_since: now, draining_since }
+    }
+
+    /// Whether a request that is complete now may be taken. The answer to a later one could still be under way when
+    /// SIGKILL comes, or when no connection of a drained router may carry it any more.
+    pub fn takes_requests(&self, now: Instant) -> bool {
+        let Some(draining_since) = self.draining_since else { return true };
+        let stopped = self.phase == Phase::Stopping && now >= self.phase_since + TAKE_AFTER_STOP;
+        !stopped && now < draining_since + TAKE_AFTER_DRAIN
+    }
+}
+
+/// The router's life cycle: its current status and all changes of it.
 pub struct Lifecycle {
-    phase: watch::Sender<(Phase, Instant)>,
+    status: watch::Sender<Status>,
 }
 
 impl Default for Lifecycle {
     fn default() -> Self {
-        Lifecycle { phase: watch::Sender::new((Phase::Starting { drained: false }, Instant::now())) }
+        let phase = Phase::Starting { drained: false };
+        Lifecycle {
+            status: watch::Sender::new(Status { phase, phase_since: Instant::now(), draining_since: None }),
+        }
     }
 }
 
 impl Lifecycle {
     /// The current phase.
     pub fn phase(&self) -> Phase {
-        self.phase.borrow().0
+        self.status.borrow().phase
     }
 
     /// Since when client connections are drained, if they are.
     pub fn draining_since(&self) -> Option<Instant> {
-        let (phase, since) = *self.phase.borrow();
-        phase.is_draining().then_some(since)
+        self.status.borrow().draining_since
+    }
+
+    /// Whether a request that is complete now may be taken.
+    pub fn takes_requests(&self) -> bool {
+        self.status.borrow().takes_requests(Instant::now())
     }
 
     /// Applies an event. False if the event is not allowed in this phase.
     pub fn apply(&self, event: Event) -> bool {
         let before = self.phase();
         let Some(next) = before.next(event) else { return false };
-        self.phase.send_if_modified(|(phase, since)| {
-            let changed = *phase != next;
-            // Draining began with standby already.
-            if changed && !(phase.is_draining() && next.is_draining()) {
-                *since = Instant::now();
-            }
-            *phase = next;
-            changed
-        });
         if next != before {
+            self.status.send_modify(|status| *status = status.changed_to(next, Instant::now()));
             crate::log!("life phase={} before={}", next.name(), before.name());
         }
         true
     }
 
     /// Subscribes to phase changes.
-    pub fn subscribe(&self) -> watch::Receiver<(Phase, Instant)> {
-        self.phase.subscribe()
+    pub fn subscribe(&self) -> watch::Receiver<Status> {
+        self.status.subscribe()
     }
 }
--- a/router/tests/lifecycle.rs
+++ b/router/tests/lifecycle.rs
@@ -1,6 +1,7 @@
 //! Transitions of the life cycle.
 
-use fawnstream::lifecycle::{Event, Phase};
+use fawnstream::lifecycle::{Event, Phase, Status};
+use std::time::{Duration, Instant};
 
 const ALL_PHASES: [Phase; 5] = [
     Phase::Starting { drained: false },
@@ -33,3 +34,24 @@
     assert_eq!(drained.next(Event::Ready), Some(Phase::Standby));
     assert_eq!(drained.next(Event::Resume).unwrap().next(Event::Ready), Some(Phase::Active));
 }
+
+/// Guards against taking a request that is complete so late after SIGTERM that SIGKILL cuts its answer, also where a
+/// standby came before; and one after a drain that would still be open 4 s after it.
+#[test]
+fn late_requests_are_not_taken_after_stop_or_drain() {
+    let start = Instant::now();
+    let at = |ms| start + Duration::from_millis(ms);
+    let status = |phase, phase_since, draining_since| Status { phase, phase_since, draining_since };
+    let active = status(Phase::Active, at(0), None);
+    assert!(active.takes_requests(at(3_600_000)));
+    let stopping = status(Phase::Stopping, at(0), Some(at(0)));
+    assert!(stopping.takes_requests(at(599)));
+    // 700 ms and a slack of 50, less 150 ms for which the process may be held up.
+    assert!(!stopping.takes_requests(at(600)));
+    let standby = status(Phase::Standby, at(0), Some(at(0)));
+    assert!(standby.takes_requests(at(1_899)));
+    assert!(!standby.takes_requests(at(1_900)));
+    let stopped_in_standby = status(Phase::Stopping, at(1_500), Some(at(0)));
+    assert!(stopped_in_standby.takes_requests(at(1_899)));
+    assert!(!stopped_in_standby.takes_requests(at(1_900)));
+}
