Begin a WebSocket move only once the server has acknowledged what the client said

Cause: sessions/ looks at movable when it orders the move. The relay then waits for messages to end and did not look again: a message that ended meanwhile went to the old server, whose acknowledgement was not read any more, and the old server was closed.

Change: a move begins once no message is unfinished and the connection is movable. Until then the server's direction is read, for its acknowledgement, and only the client's stands still; after 300 ms the move is put off, as before.

--- a/router/src/live/relay.rs
+++ b/router/src/live/relay.rs
@@ -19,8 +19,8 @@
 
 /// A closing handshake that takes longer is given up and the connection ends without it.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
-/// A move that has waited this long for the current messages to end is deferred.
-const MESSAGE_END_TIMEOUT: Duration = Duration::from_millis(300);
+/// A move that has waited this long for the current messages to end and to be acknowledged is deferred.
+const SETTLE_TIMEOUT: Duration = Duration::from_millis(300);
 /// A peer that has accepted no bytes for this long counts as gone, even if its connection looks open.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// How long a server that the connection leaves may take to receive the close frame.
@@ -41,12 +41,13 @@
     upgrade::open(server, upgrade_request.clone(), last_id, connect_timeout, handle.settings().limits)
 }
 
-/// A move to another server. The current messages end first, then a new upstream is opened.
+/// A move to another server. The current messages end first and the client's are acknowledged, then a new upstream is
+/// opened.
 struct Move {
     label: String,
     server: Rc<Server>,
-    /// The move is deferred if the current messages have not ended by then.
-    message_end_by: Instant,
+    /// The move is deferred if it cannot begin by then.
+    settle_by: Instant,
     attempt: Option<UpgradeAttempt>,
 }
 
@@ -56,8 +57,8 @@
     Client(Result<Option<Frame>, FrameError>),
     Server(Result<Option<Frame>, FrameError>),
     Attempt(Result<Upstream, UpgradeError>),
-    /// A move is pending, and no message is unfinished in either direction.
-    MessageBoundary,
+    /// A move is pending, and it would neither cut nor lose a message.
+    Settled,
     Timer,
 }
 
@@ -161,7 +162,7 @@
                 Event::Client(frame) => self.client_frame(frame),
                 Event::Server(frame) => self.server_frame(frame),
                 Event::Attempt(result) => self.attempt_ended(result),
-                Event::MessageBoundary => self.start_attempt(),
+                Event::Settled => self.start_attempt(),
                 Event::Timer => self.check_timeouts(),
             };
             if let Some(code) = ended {
@@ -179,9 +180,20 @@
         }
     }
 
-    /// Whether a direction is paused for a pending move: between two messages nothing more is read.
-    fn paused_for_move(&self, messages: &MessageTracker) -> bool {
-        self.pending_move.is_some() && !messages.unfinished()
+    /// Whether a pending move can begin: no message is unfinished, and none would be lost or repeated. A message that
+    /// ended after the move was ordered may not be acknowledged yet.
+    fn settled(&self) -> bool {
+        !self.from_client.unfinished() && !self.from_server.unfinished() && self.resume.movable()
+    }
+
+    /// Whether the client is not read from because of a pending move: between two messages it is paused.
+    fn client_paused(&self) -> bool {
+        self.pending_move.is_some() && !self.from_client.unfinished()
+    }
+
+    /// Whether the server is not read from because of a pending move. Its acknowledgements are needed before.
+    fn server_paused(&self) -> bool {
+        self.pending_move.as_ref().is_some_and(|pending| pending.attempt.is_some() || self.settled())
     }
 
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Event> {
@@ -196,6 +208,7 @@
         {
             return Poll::Ready(Event::Command(command));
         }
+        let settled = self.settled();
         if let Some(pending_move) = &mut self.pending_move {
             match &mut pending_move.attempt {
                 Some(attempt) => {
@@ -203,22 +216,20 @@
                         return Poll::Ready(Event::Attempt(result));
                     }
                 }
-                None if !self.from_client.unfinished() && !self.from_server.unfinished() => {
-                    return Poll::Ready(Event::MessageBoundary);
-                }
+                None if settled => return Poll::Ready(Event::Settled),
                 None => {}
             }
         }
         // Back-pressure: a frame is read only if it can be passed on, so a slow side slows only its own connection.
-        let server_has_room = self.server.as_ref().is_some_and(WebSocketStream::has_room)
-            && !self.paused_for_move(&self.from_client);
+        let server_has_room =
+            self.server.as_ref().is_some_and(WebSocketStream::has_room) && !self.client_paused();
         if (server_has_room || self.end.is_some())
             && let Poll::Ready(frame) = self.client.poll_frame(cx)
         {
             return Poll::Ready(Event::Client(frame));
         }
         if self.client.has_room()
-            && !self.paused_for_move(&self.from_server)
+            && !self.server_paused()
             && let Some(server) = &mut self.server
             && let Poll::Ready(frame) = server.poll_frame(cx)
         {
@@ -232,9 +243,9 @@
     fn handle_command(&mut self, command: Option<RelayCommand>) -> Option<&'static str> {
         match command {
             Some(RelayCommand::OpenUpstream(server)) => {
-                let message_end_by = Instant::now() + MESSAGE_END_TIMEOUT;
+                let settle_by = Instant::now() + SETTLE_TIMEOUT;
                 let label = server.label.clone();
-                self.pending_move = Some(Move { label, server, message_end_by, attempt: None });
+                self.pending_move = Some(Move { label, server, settle_by, attempt: None });
             }
             Some(RelayCommand::Close(cause, retry_after)) => {
                 let (code, number) = match cause {
@@ -482,7 +493,7 @@
             due = due.min(leg_due(server));
         }
         if let Some(pending) = self.pending_move.as_ref().filter(|pending| pending.attempt.is_none()) {
-            due = due.min(pending.message_end_by);
+            due = due.min(pending.settle_by);
         }
         self.end.map_or(due, |end| due.min(end.due))
     }
@@ -500,7 +511,7 @@
         if self
             .pending_move
             .as_ref()
-            .is_some_and(|pending| pending.attempt.is_none() && pending.message_end_by <= now)
+            .is_some_and(|pending| pending.attempt.is_none() && pending.settle_by <= now)
         {
             self.pending_move = None;
             self.handle.attempt_ended(AttemptOutcome::Deferred);
--- a/router/tests/websocket.rs
+++ b/router/tests/websocket.rs
@@ -131,6 +131,9 @@
                 }
                 Some(Ok(Message::Text(_))) if !query.contains("noack") => {
                     received += 1;
+                    if query.contains("slowack") {
+                        tokio::time::sleep(Duration::from_millis(600)).await;
+                    }
                     let _ = peer.send(Message::text(format!("{{\"ack\":{received}}}"))).await;
                 }
                 Some(Ok(_)) => {}
@@ -497,6 +500,37 @@
     router.wait_until("all ended", |router| router.metric("websocket_open") == 0 && second.open() == 0).await;
 }
 
+/// Guards against a move that drops a message which its client ended while the move waited for that end: the message is
+/// acknowledged before the move, or its client is told by a close.
+#[rstest]
+#[case::soon("quiet")]
+#[case::late("quiet&slowack")]
+#[tokio::test(flavor = "multi_thread")]
+async fn message_that_ends_during_move_is_not_dropped(#[case] query: &str) {
+    let (first, second) = (Server::start("w1").await, Server::start("w2").await);
+    let mut discovery = Discovery::start().await;
+    let router = start(&[&first], discovery.address, &settings(&[]));
+    let mut client = router.connect(query).await.unwrap();
+    let fragment = |text: &str, code, last| {
+        Message::Frame(Frame::message(text.as_bytes().to_vec(), OpCode::Data(code), last))
+    };
+    client.send(fragment("bo", Data::Text, false)).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    discovery.send(&[first.entry("leaving", 0), second.entry("active", 0)]);
+    router.wait_until("a move that waits", |router| router.metric("websocket_trying") == 1).await;
+    client.send(fragment("ok", Data::Continue, true)).await.unwrap();
+    let next = tokio::time::timeout(Duration::from_secs(3), client.next()).await;
+    match next.expect("neither an acknowledgement nor a close").unwrap().unwrap() {
+        Message::Text(text) => {
+            assert_eq!(text.as_str(), "{\"ack\":1}");
+            router.wait_until("moved", |router| router.metric("websocket_moved") == 1).await;
+            assert_eq!(second.open(), 1);
+        }
+        Message::Close(close) => assert!(matches!(u16::from(close.unwrap().code), 1012 | 1013)),
+        other => panic!("{other}"),
+    }
+}
+
 /// The target of a move never answers and drains during the move. The old server continues meanwhile, and in the end
 /// another server takes the connection exactly once.
 #[tokio::test(flavor = "multi_thread")]
