--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -41,7 +41,7 @@
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 
-/// Largest body, other than a stream, that is read to its end so that its connection can be reused, in bytes.
+/// Largest body, other than a stream, that is read to its end, in bytes. A complete answer proves how its attempt ended.
 const MAX_SMALL_BODY: usize = 16 * 1024;
 /// Time to read such a body.
 const SMALL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
--- a/router/tests/play.rs
+++ b/router/tests/play.rs
@@ -43,9 +43,7 @@
             Err(error) => matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut),
         }
     }
-}
 
-impl Peer {
     /// Notes a call that a server took. A connection carries one call; an attempt may follow a release, which asks
     /// whether the server runs.
     fn note_call(&mut self, name: &str, message: &str) {
--- a/router/tests/second_answers.rs
+++ b/router/tests/second_answers.rs
@@ -4,7 +4,7 @@
 
 mod standins;
 
-use standins::{BothFronts, READ, RELEASED, STEP_TIMEOUT, chunk, read_message, start_both_fronts};
+use standins::{BothFronts, READ, RELEASED, STEP_TIMEOUT, read_message, start_both_fronts, stream_answer};
 use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -31,19 +31,11 @@
     text.split(|c: char| !c.is_ascii_alphanumeric()).find(|word| word.starts_with("mark")).unwrap().to_owned()
 }
 
-/// A stream whose events carry this text.
+/// A stream whose event carries this text.
 fn stream(text: &str) -> String {
-    let event = |finish: &str| {
-        chunk(&format!(
-            "data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":{finish}}}]}}\n\n"
-        ))
-    };
-    format!(
-        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{}{}{}0\r\n\r\n",
-        event("null"),
-        event("\"stop\""),
-        chunk("data: [DONE]\n\n")
-    )
+    stream_answer(&format!(
+        "{{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}},\"finish_reason\":\"stop\"}}]}}"
+    ))
 }
 
 /// Starts a server whose connections first repeat their last answer whenever another call comes on them.
