--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -416,15 +416,23 @@
         world.note(&format!("client: {key} got {}", answer.status()));
         answer.status()
     };
-    let question = "What does error 17 mean?";
+    let questions = [17, 23, 42].map(|error| format!("What does error {error} mean?"));
+    // 16 requests a second; all customers' usual traffic is 8.
+    const PAUSE_MS: u64 = 60;
     if world.trouble {
-        for number in 0..12 {
+        for number in 0..40 {
             ask("sk-donaupay", &format!("Summarise log {number}."));
+            sleep_ms(PAUSE_MS);
         }
     }
-    ask("sk-donaupay", question);
+    for question in &questions {
+        ask("sk-donaupay", question);
+        sleep_ms(PAUSE_MS);
+    }
     sleep_ms(1_000);
-    assert_eq!(ask("sk-murtal", question), 200, "the second customer was not served");
+    for question in &questions {
+        assert_eq!(ask("sk-murtal", question), 200, "the second customer was not served");
+    }
     sleep_ms(2_000);
     for entry in sink.entries() {
         world.note(&format!("sink has {entry:?}"));
@@ -436,11 +444,11 @@
         of_customer.clone().map(|line| line.get("use").get(share).get("requests").number()).sum()
     };
     let (within, beyond) = (sum("within"), sum("beyond"));
-    if (within, beyond) == (1.0, 0.0) {
+    if (within, beyond) == (3.0, 0.0) {
         return Vec::new();
     }
     vec![format!(
-        "murtal-mobil asked once, within its share; its account has {within} within and {beyond} beyond"
+        "murtal-mobil asked 3 times, within its share; its account has {within} within and {beyond} beyond"
     )]
 }
 
