--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -620,3 +620,63 @@
         attempts.len()
     )]
 }
+
+/// A new version beside an old one that has an answer under way for longer than the new one waits for the ledger.
+pub fn ledger_wait(world: &World, inherited: TcpListener) -> Vec<String> {
+    let address = inherit(&inherited);
+    let (writer, _) = writer(world, 80);
+    let discovery = Discovery::start(vec![
+        member("r1", reader(world), "prefill", "active"),
+        member("w1", writer, "decode", "active"),
+    ]);
+    let sink = Sink::start(world);
+    let folder = world.path("usage");
+    let ledger = world.write("ledger.toml", &ledger_file(&folder, Some(sink.address), 3600, 120, 60));
+    let config =
+        world.write("config.json", &configuration(address, free_address(), discovery.address, QUOTAS));
+    let start = |name: &str| {
+        let mgmt = free_address();
+        // A folder of its own for each process: streams stay in the process that began them.
+        let own = world.path(&format!("tmp-{name}"));
+        std::fs::create_dir_all(&own).expect("a folder");
+        let variables = [
+            ("PROXY_CONFIG", config.display().to_string()),
+            ("PROXY_MGMT", mgmt.to_string()),
+            ("PROXY_FD", "3".to_owned()),
+            ("TMPDIR", own.display().to_string()),
+        ];
+        let mut router = world.router(name, &format!("--ledger {}", ledger.display()), &variables);
+        router.wait_yes(mgmt, "/status");
+        router
+    };
+    let ask = |id: &str, class: &'static str, tokens: u64| Ask {
+        id: id.to_owned(),
+        class,
+        tenant: "donaupay",
+        session: tokens,
+        budget: 7.5,
+        body: format!(
+            "{{\"model\":\"chat\",\"stream\":true,\"max_tokens\":{tokens},\"messages\":[{{\"role\":\"user\",\"content\":\"{id}\"}}]}}"
+        ),
+        max_out: tokens,
+    };
+    let mut old = start("old");
+    let (long, long_world) = (ask("long", "log-chat", if world.trouble { 800 } else { 100 }), world.clone());
+    let long = std::thread::spawn(move || long.send(&long_world, address));
+    sleep_ms(500);
+    let new = start("new");
+    old.signal(SIGTERM, "SIGTERM");
+    sleep_ms(1_000);
+    let ids: Vec<String> = (1..=5).map(|number| format!("short-{number}")).collect();
+    let mut asks = Vec::new();
+    for (id, number) in ids.iter().zip(1..) {
+        if ask(id, "run-summary", 10 + number).send(world, address) == (200, true) {
+            asks.push((id.clone(), "donaupay", 10 + number));
+        }
+    }
+    old.wait_end(Duration::from_secs(80));
+    let _ = long.join();
+    let entries = wait_entries(&sink, &ids, Duration::from_secs(5));
+    new.note_log(&["ledger"]);
+    check_bills(&entries, &asks)
+}
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -27,6 +27,7 @@
         "orderly-stop" => cases::orderly_stop(&world),
         "closed-period" => cases::closed_period(&world),
         "two-customers" => cases::two_customers(&world),
+        "ledger-wait" => cases::ledger_wait(&world, inherited),
         "upgrade-with-openai" => cases::upgrade_with_openai(&world, inherited),
         _ => {
             eprintln!("no such case: {name}");
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -15,7 +15,6 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
@@ -211,53 +210,27 @@
     });
 }
 
-/// Discovery: a watch gets the whole list, again after each change, and an empty line every 2 s.
-#[derive(Clone)]
+/// Discovery: a watch gets the whole list, and an empty line every 2 s.
 pub struct Discovery {
     pub address: SocketAddr,
-    list: Arc<Mutex<(u64, Vec<String>)>>,
 }
 
 impl Discovery {
     pub fn start(members: Vec<String>) -> Discovery {
         let (listener, address) = listen();
-        let list = Arc::new(Mutex::new((1, members)));
-        let shared = list.clone();
         serve(listener, move |mut stream| {
             let mut ahead = Ahead::default();
             let Ok(Some(_)) = http::read_head(&mut stream, &mut ahead) else { return };
             let head =
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
-            if stream.write_all(head.as_bytes()).is_err() {
-                return;
-            }
-            let (mut told, mut last) = (0, Instant::now());
-            loop {
-                let (revision, members) = shared.lock().unwrap().clone();
-                let line = if revision != told {
-                    told = revision;
-                    format!(
-                        "{{\"revision\":{revision},\"complete\":true,\"members\":[{}]}}\n",
-                        members.join(",")
-                    )
-                } else if last.elapsed() >= Duration::from_secs(2) {
-                    "\n".to_owned()
-                } else {
-                    sleep_ms(5);
-                    continue;
-                };
-                last = Instant::now();
-                if stream.write_all(&http::chunk(line.as_bytes())).is_err() {
-                    return;
-                }
+            let list = format!("{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n", members.join(","));
+            let mut next = [head.as_bytes(), &http::chunk(list.as_bytes())].concat();
+            while stream.write_all(&next).is_ok() {
+                sleep_ms(2_000);
+                next = http::chunk(b"\n");
             }
         });
-        Discovery { address, list }
-    }
-
-    pub fn set(&self, members: Vec<String>) {
-        let mut list = self.list.lock().unwrap();
-        *list = (list.0 + 1, members);
+        Discovery { address }
     }
 }
 
