--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -520,6 +520,13 @@
                     let _ = http::answer(&mut stream, "204 No Content", "");
                     continue;
                 }
+                // Nobody else's calls are counted.
+                if request.method() != "POST"
+                    || !request.field("x-call-id").is_some_and(|id| id.starts_with("c"))
+                {
+                    let _ = http::answer(&mut stream, "404 Not Found", "");
+                    continue;
+                }
                 attempts.lock().unwrap().push((number, request.whole_at));
                 let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"word\"},\"finish_reason\":\"stop\"}]}\n\ndata: {\"choices\":[],\"usage\":{\"prompt_tokens\":400,\"completion_tokens\":1}}\n\ndata: [DONE]\n\n";
                 let head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -249,6 +249,8 @@
         while let Ok(Some(request)) = http::read_message(&mut stream, &mut ahead) {
             let done = if request.method() == "DELETE" {
                 http::answer(&mut stream, "204 No Content", "")
+            } else if request.method() != "POST" {
+                http::answer(&mut stream, "404 Not Found", "")
             } else {
                 sleep_ms(5);
                 world.note(&format!("reader: read {}", request.field("x-call-id").unwrap_or("-")));
@@ -281,8 +283,9 @@
     serve(listener, move |mut stream| {
         let mut ahead = Ahead::default();
         while let Ok(Some(request)) = http::read_message(&mut stream, &mut ahead) {
-            if request.method() == "DELETE" {
-                if http::answer(&mut stream, "204 No Content", "").is_err() {
+            if request.method() != "POST" {
+                let status = if request.method() == "DELETE" { "204 No Content" } else { "404 Not Found" };
+                if http::answer(&mut stream, status, "").is_err() {
                     return;
                 }
                 continue;
