--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -16,13 +16,14 @@
     fn fcntl(fd: i32, command: i32, ...) -> i32;
 }
 
-/// Lets processes that are started inherit the socket as descriptor 3.
-fn inherit(listener: &TcpListener) -> SocketAddr {
+/// Lets processes that are started inherit the socket; returns its address and the descriptor's number, which is 3 where
+/// nobody else has opened that.
+fn inherit(listener: &TcpListener) -> (SocketAddr, String) {
     const F_SETFD: i32 = 2;
-    assert_eq!(listener.as_raw_fd(), 3, "the socket to inherit is not descriptor 3");
+    let number = listener.as_raw_fd();
     // SAFETY: it changes a flag of a descriptor that this program owns.
-    assert_eq!(unsafe { fcntl(3, F_SETFD, 0) }, 0);
-    listener.local_addr().expect("an address")
+    assert_eq!(unsafe { fcntl(number, F_SETFD, 0) }, 0);
+    (listener.local_addr().expect("an address"), number.to_string())
 }
 
 const QUOTAS: [f64; 4] = [14.0, 4.0, 2.0, 2.0];
@@ -155,7 +156,7 @@
 
 /// Two new versions in a row, while streams are open, with a usage ledger.
 pub fn two_upgrades(world: &World, inherited: TcpListener) -> Vec<String> {
-    let address = inherit(&inherited);
+    let (address, descriptor) = inherit(&inherited);
     let (writer, _) = writer(world, 70);
     let discovery = Discovery::start(vec![
         member("r1", reader(world), "prefill", "active"),
@@ -171,7 +172,7 @@
         let variables = [
             ("PROXY_CONFIG", config.display().to_string()),
             ("PROXY_MGMT", mgmt.to_string()),
-            ("PROXY_FD", "3".to_owned()),
+            ("PROXY_FD", descriptor.clone()),
         ];
         let mut router = world.router(name, &format!("--ledger {}", ledger.display()), &variables);
         router.wait_yes(mgmt, "/status");
@@ -454,7 +455,7 @@
 
 /// A new version beside the old one, with the OpenAI-style front.
 pub fn upgrade_with_openai(world: &World, inherited: TcpListener) -> Vec<String> {
-    let address = inherit(&inherited);
+    let (address, descriptor) = inherit(&inherited);
     let (writer, _) = writer(world, 5);
     let discovery = Discovery::start(vec![
         member("r1", reader(world), "prefill", "active"),
@@ -474,7 +475,7 @@
         let variables = [
             ("PROXY_CONFIG", config.display().to_string()),
             ("PROXY_MGMT", mgmt.to_string()),
-            ("PROXY_FD", "3".to_owned()),
+            ("PROXY_FD", descriptor.clone()),
         ];
         (world.router(name, &format!("--openai {}", file.display()), &variables), mgmt)
     };
@@ -630,7 +631,7 @@
 
 /// A new version beside an old one that has an answer under way for longer than the new one waits for the ledger.
 pub fn ledger_wait(world: &World, inherited: TcpListener) -> Vec<String> {
-    let address = inherit(&inherited);
+    let (address, descriptor) = inherit(&inherited);
     let (writer, _) = writer(world, 80);
     let discovery = Discovery::start(vec![
         member("r1", reader(world), "prefill", "active"),
@@ -649,7 +650,7 @@
         let variables = [
             ("PROXY_CONFIG", config.display().to_string()),
             ("PROXY_MGMT", mgmt.to_string()),
-            ("PROXY_FD", "3".to_owned()),
+            ("PROXY_FD", descriptor.clone()),
             ("TMPDIR", own.display().to_string()),
         ];
         let mut router = world.router(name, &format!("--ledger {}", ledger.display()), &variables);
