Review stand-ins: listening addresses that no outgoing connection can take

A run of case 7 ended with 2: the port that the stand-ins had given back before the router bound it was taken. Such addresses are now on a loopback address of the case's own process. The program is as it was.

--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -5,9 +5,10 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -189,8 +190,18 @@
     }
 }
 
+/// An address on which a program of the case will listen. It is on a loopback address of this process's own, since a port of
+/// 127.0.0.1 that is free now may be an outgoing connection's by the time the program binds it.
 pub fn free_address() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr()).expect("a free port")
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(20_000);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let address = Ipv4Addr::new(127, 64 + (high & 63), middle, low);
+    loop {
+        let port = NEXT_PORT.fetch_add(1, Ordering::Relaxed);
+        if let Ok(listener) = TcpListener::bind((address, port)) {
+            return listener.local_addr().expect("an address");
+        }
+    }
 }
 
 pub fn listen() -> (TcpListener, SocketAddr) {
