Review stand-ins: one crate, with three more scripts and a discovery that tells changes

The scripts of review/standins-3 that show something new are now in review/standins-2, on its world and its free ports: `unsafe-upgrade`, `id-in-use` and `held-at-stop`. The WebSocket server of `gone-clients` is a function now.

--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -18,7 +18,7 @@
 
 /// Lets processes that are started inherit the socket; returns its address and the descriptor's number, which is 3 where
 /// nobody else has opened that.
-fn inherit(listener: &TcpListener) -> (SocketAddr, String) {
+pub fn inherit(listener: &TcpListener) -> (SocketAddr, String) {
     const F_SETFD: i32 = 2;
     let number = listener.as_raw_fd();
     // SAFETY: it changes a flag of a descriptor that this program owns.
@@ -26,48 +26,69 @@
     (listener.local_addr().expect("an address"), number.to_string())
 }
 
-const QUOTAS: [f64; 4] = [14.0, 4.0, 2.0, 2.0];
+pub const QUOTAS: [f64; 4] = [14.0, 4.0, 2.0, 2.0];
 
-/// Clients that close their connections before their upgrade was sent to a server.
-pub fn gone_clients(world: &World) -> Vec<String> {
-    const CLIENTS: usize = 30;
-    let arrivals = Arc::<Mutex<BTreeMap<usize, Instant>>>::default();
-    let (listener, server) = listen();
-    let (seen, server_world) = (arrivals.clone(), world.clone());
+/// A server that takes WebSocket upgrades. It has nothing to say; it answers a close, and ends when its peer does.
+pub fn websocket_server(
+    world: &World,
+    name: &str,
+    on_upgrade: impl Fn(&http::Message) + Send + Sync + Clone + 'static,
+) -> SocketAddr {
+    let (listener, address) = listen();
+    let (world, name) = (world.clone(), name.to_owned());
     serve(listener, move |mut stream| {
         let mut ahead = Ahead::default();
         let Ok(Some(request)) = http::read_head(&mut stream, &mut ahead) else { return };
-        let client: usize = request.field("x-client").and_then(|number| number.parse().ok()).unwrap_or(0);
-        seen.lock().unwrap().insert(client, request.whole_at);
-        server_world.note(&format!("server: upgrade for client {client}"));
+        // Recorded first, since the record takes time.
+        on_upgrade(&request);
+        let client = request.field("x-client").unwrap_or("-").to_owned();
+        let last_id = request.field("last-event-id");
+        world.note(&format!(
+            "{name}: upgrade for client {client}: {} Last-Event-ID={last_id:?}",
+            request.first
+        ));
         let answer = websocket::accept(request.field("sec-websocket-key").unwrap_or(""));
         if stream.write_all(answer.as_bytes()).is_err() {
             return;
         }
-        // It has nothing to say; it answers a close, and ends when its peer does.
         let mut piece = [0; 256];
         while let Ok(size) = stream.read(&mut piece) {
             if size == 0 {
                 return;
             }
             if piece[0] == 0x88 {
+                world.note(&format!("{name}: client {client} is closed"));
                 let _ = stream.write_all(&websocket::SERVER_CLOSE);
                 return;
             }
         }
     });
+    address
+}
+
+/// The WebSocket listener's settings file. The second path's class may not be repeated.
+pub fn websocket_file(listen: SocketAddr) -> String {
+    format!(
+        "listen = \"{listen}\"\nkinds = [\"decode\"]\nmost_at_server = 400\nmost_of_tenant = 200\nload_tokens = 250\nnew_per_s = 80\n[resume]\nid = \"id\"\nack = \"ack\"\n[[path]]\npath = \"/v1/follow\"\nclass = \"log-chat\"\n[[path]]\npath = \"/v1/book\"\nclass = \"book-device\"\n"
+    )
+}
+
+/// Clients that close their connections before their upgrade was sent to a server.
+pub fn gone_clients(world: &World) -> Vec<String> {
+    const CLIENTS: usize = 30;
+    let arrivals = Arc::<Mutex<BTreeMap<usize, Instant>>>::default();
+    let seen = arrivals.clone();
+    let server = websocket_server(world, "server", move |request| {
+        let client: usize = request.field("x-client").and_then(|number| number.parse().ok()).unwrap_or(0);
+        seen.lock().unwrap().insert(client, request.whole_at);
+    });
     let discovery = Discovery::start(vec![
         member("r1", reader(world), "prefill", "active"),
         member("w1", server, "decode", "active"),
     ]);
     let (address, mgmt, sockets) = (free_address(), free_address(), free_address());
     let config = world.write("config.json", &configuration(address, mgmt, discovery.address, QUOTAS));
-    let file = world.write(
-        "websocket.toml",
-        &format!(
-            "listen = \"{sockets}\"\nkinds = [\"decode\"]\nmost_at_server = 400\nmost_of_tenant = 200\nload_tokens = 250\nnew_per_s = 80\n[resume]\nid = \"id\"\nack = \"ack\"\n[[path]]\npath = \"/v1/follow\"\nclass = \"log-chat\"\n"
-        ),
-    );
+    let file = world.write("websocket.toml", &websocket_file(sockets));
     let config = [("PROXY_CONFIG", config.display().to_string())];
     let mut router = world.router("n1", &format!("--websocket {}", file.display()), &config);
     router.wait_yes(address, "/healthz");
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -5,6 +5,7 @@
 mod etcd;
 mod http;
 mod json;
+mod more_cases;
 mod websocket;
 mod world;
 
@@ -21,6 +22,9 @@
     let inherited = std::net::TcpListener::bind("127.0.0.1:0").expect("a listener");
     let world = World::new(Path::new(folder), name);
     let broken = match name.as_str() {
+        "unsafe-upgrade" => more_cases::unsafe_upgrade(&world),
+        "id-in-use" => more_cases::id_in_use(&world, inherited),
+        "held-at-stop" => more_cases::held_at_stop(&world, inherited),
         "etcd-cut" => cases::etcd_cut(&world),
         "gone-clients" => cases::gone_clients(&world),
         "two-upgrades" => cases::two_upgrades(&world, inherited),
--- a/review/standins-2/src/world.rs
+++ b/review/standins-2/src/world.rs
@@ -18,6 +18,8 @@
 
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
+pub const SIGCONT: i32 = 18;
+pub const SIGSTOP: i32 = 19;
 
 pub fn signal(pid: u32, number: i32) {
     // SAFETY: a call without memory; the process is one that this program started.
@@ -221,27 +223,56 @@
     });
 }
 
-/// Discovery: a watch gets the whole list, and an empty line every 2 s.
+/// Discovery: a watch gets the whole list, each change at once, and an empty line after 2 s without one.
 pub struct Discovery {
     pub address: SocketAddr,
+    /// The lines so far; a line's number is its revision.
+    lines: Arc<Mutex<Vec<String>>>,
 }
 
 impl Discovery {
     pub fn start(members: Vec<String>) -> Discovery {
         let (listener, address) = listen();
+        let list = format!("{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n", members.join(","));
+        let lines = Arc::new(Mutex::new(vec![list]));
+        let told = lines.clone();
         serve(listener, move |mut stream| {
             let mut ahead = Ahead::default();
-            let Ok(Some(_)) = http::read_head(&mut stream, &mut ahead) else { return };
+            let Ok(Some(request)) = http::read_head(&mut stream, &mut ahead) else { return };
+            let from = request.target().split("from=").nth(1).and_then(|revision| revision.parse().ok());
+            let mut next: usize = from.unwrap_or(0);
             let head =
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
-            let list = format!("{{\"revision\":1,\"complete\":true,\"members\":[{}]}}\n", members.join(","));
-            let mut next = [head.as_bytes(), &http::chunk(list.as_bytes())].concat();
-            while stream.write_all(&next).is_ok() {
-                sleep_ms(2_000);
-                next = http::chunk(b"\n");
+            let mut bytes = head.as_bytes().to_vec();
+            let mut silent_ms = 0;
+            loop {
+                for line in told.lock().unwrap().iter().skip(next) {
+                    bytes.extend_from_slice(&http::chunk(line.as_bytes()));
+                    next += 1;
+                }
+                if silent_ms >= 2_000 {
+                    bytes.extend_from_slice(&http::chunk(b"\n"));
+                }
+                if !bytes.is_empty() {
+                    if stream.write_all(&bytes).is_err() {
+                        return;
+                    }
+                    bytes.clear();
+                    silent_ms = 0;
+                }
+                sleep_ms(5);
+                silent_ms += 5;
             }
         });
-        Discovery { address }
+        Discovery { address, lines }
+    }
+
+    /// Tells open watches of changed entries.
+    pub fn tell(&self, world: &World, members: &[String]) {
+        let mut lines = self.lines.lock().unwrap();
+        let (revision, members) = (lines.len() + 1, members.join(","));
+        world.note(&format!("discovery: tells {members}"));
+        lines.push(format!("{{\"revision\":{revision},\"complete\":false,\"members\":[{members}]}}\n"));
     }
 }
 
@@ -251,7 +282,7 @@
     )
 }
 
-/// A reader: it has read a prompt after 5 ms.
+/// A reader: it has read a prompt after 5 ms, or after the time that the body's `"read_ms"` says.
 pub fn reader(world: &World) -> SocketAddr {
     let (listener, address) = listen();
     let world = world.clone();
@@ -263,7 +294,7 @@
             } else if request.method() != "POST" {
                 http::answer(&mut stream, "404 Not Found", "")
             } else {
-                sleep_ms(5);
+                sleep_ms(number_of(&request.text(), "read_ms").unwrap_or(5));
                 world.note(&format!("reader: read {}", request.field("x-call-id").unwrap_or("-")));
                 http::answer(&mut stream, "202 Accepted", "{\"cached_tokens\":0}")
             };
