--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -24,6 +24,7 @@
     let broken = match name.as_str() {
         "unsafe-upgrade" => more_cases::unsafe_upgrade(&world),
         "id-in-use" => more_cases::id_in_use(&world, inherited),
+        "held-handover" => more_cases::held_handover(&world, inherited),
         "held-at-stop" => more_cases::held_at_stop(&world, inherited),
         "etcd-cut" => cases::etcd_cut(&world),
         "gone-clients" => cases::gone_clients(&world),
--- a/review/standins-2/src/more_cases.rs
+++ b/review/standins-2/src/more_cases.rs
@@ -198,3 +198,63 @@
         _ => vec![format!("{unanswered} of {asked} upgrades that were written whole got no answer")],
     }
 }
+
+/// One of the two processes of an upgrade is held up for a moment while streams are handed over. `HOLD=old` or `new`
+/// says which, `AT` when, in milliseconds behind SIGTERM.
+pub fn held_handover(world: &World, inherited: TcpListener) -> Vec<String> {
+    let (address, descriptor) = inherit(&inherited);
+    let (writer, _) = writer(world, 23);
+    let discovery = Discovery::start(vec![
+        member("r1", reader(world), "prefill", "active"),
+        member("w1", writer, "decode", "active"),
+    ]);
+    let config =
+        world.write("config.json", &configuration(address, free_address(), discovery.address, QUOTAS));
+    let start = |name: &str| {
+        let mgmt = free_address();
+        let variables = [
+            ("PROXY_CONFIG", config.display().to_string()),
+            ("PROXY_MGMT", mgmt.to_string()),
+            ("PROXY_FD", descriptor.clone()),
+        ];
+        let mut router = world.router(name, "", &variables);
+        router.wait_yes(mgmt, "/status");
+        router
+    };
+    let mut old = start("old");
+    let clients: Vec<_> = (0..30)
+        .map(|number| {
+            let ask = Ask {
+                id: format!("a{number}"),
+                class: "run-summary",
+                tenant: "donaupay",
+                session: number,
+                budget: 7.5,
+                body: "{\"model\":\"chat\",\"stream\":true,\"max_tokens\":300,\"messages\":[{\"role\":\"user\",\"content\":\"run\"}]}".to_owned(),
+                max_out: 300,
+            };
+            let world = world.clone();
+            sleep_ms(40);
+            std::thread::spawn(move || ask.send(&world, address))
+        })
+        .collect();
+    let new = start("new");
+    old.signal(SIGTERM, "SIGTERM");
+    let setting = |name: &str, usual: &str| std::env::var(name).unwrap_or_else(|_| usual.to_owned());
+    let at: u64 = setting("AT", "3010").parse().expect("AT is a number");
+    sleep_ms(at);
+    if world.trouble {
+        let held = if setting("HOLD", "new") == "old" { &old } else { &new };
+        held.signal(SIGSTOP, "SIGSTOP");
+        sleep_ms(140);
+        held.signal(SIGCONT, "SIGCONT");
+    }
+    if old.wait_end(Duration::from_millis(3_700_u64.saturating_sub(at + 140))).is_none() {
+        old.signal(SIGKILL, "SIGKILL");
+    }
+    old.note_log(&["handover", "outcome"]);
+    new.note_log(&["handover"]);
+    let ends = clients.into_iter().map(|client| client.join().unwrap_or((0, false)));
+    let cut = ends.filter(|end| *end != (200, true)).count();
+    if cut > 0 { vec![format!("{cut} of 30 answers were cut")] } else { Vec::new() }
+}
