Answers that outlast the stop timeout are broken off and have an entry in the ledger

Their clients got part of the answer.

Cause: Core::fail_all asked for requests that were not `settled`. An answer that has begun is settled, but its outcome is recorded at its attempt's end, which did not come before the process ended.

Change: core/stopping.rs cancels the attempt of every request that has no outcome; what does not end within 50 ms is recorded all the same, and its stream can't be committed to another process any more. shutdown.rs (out of program.rs) closes the ledger as soon as all outcomes are recorded.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -3,6 +3,7 @@
 
 mod leases;
 mod repeats;
+mod stopping;
 
 use crate::exchange::{ClientEnd, Exchange, Opening};
 use crate::handover::BillingDetails;
@@ -821,7 +822,7 @@
                 true => verdict.proof(reads, result.evidence),
                 false => Proof::NeverSent,
             });
-            if open.answer_began {
+            if open.answer_began && !open.outcome_recorded.get() {
                 let outcome = match (open.client_left, verdict) {
                     (_, Verdict::Ok) => "served",
                     (true, _) => "client-left",
@@ -889,24 +890,6 @@
         self.repeat_policies.get(class.0).copied().unwrap_or(RepeatPolicy::Never)
     }
 
-    /// Fails all requests without a final answer and cancels their attempts. Used when the process is about to end: a
-    /// client whose connection closes without an answer would assume that its request was never read.
-    pub fn fail_all(&self) {
-        let waiting: Vec<RequestId> = {
-            let requests = self.requests.borrow();
-            requests.iter().filter(|(_, open)| !open.settled).map(|(id, _)| *id).collect()
-        };
-        for id in waiting {
-            let cancel = |open: &mut OpenRequest| open.current.as_mut().and_then(|current| current.1.take());
-            if let Some(cancel) = self.requests.borrow_mut().get_mut(&id).and_then(cancel) {
-                let _ = cancel.send(());
-            }
-            self.answer(id, Opening::Failed);
-            self.handle(Event::ClientLeft(id));
-            self.remove_if_finished(id);
-        }
-    }
-
     /// Counts and logs a request's final outcome. The only place that does.
     fn record_outcome(&self, id: RequestId, open: &OpenRequest, outcome: &str, tokens: Option<Tokens>) {
         let call = &open.exchange.call;
--- a/router/src/handover.rs
+++ b/router/src/handover.rs
@@ -137,6 +137,9 @@
     /// The other process declined the stream, timed out or broke the protocol.
     #[error("not-taken")]
     Declined,
+    /// The stream has ended here meanwhile.
+    #[error("ended")]
+    Ended,
     /// The connection to the other process failed.
     #[error("{0}")]
     Io(#[from] io::Error),
@@ -202,12 +205,14 @@
 pub struct Successor(UnixStream);
 
 impl Successor {
-    /// Hands a stream over. After an error the caller still owns it, and the receiver has dropped it.
+    /// Hands a stream over, unless `may_commit` denies that in the end. After an error the caller still owns it, and the
+    /// receiver has dropped it.
     pub async fn send(
         mut self,
         state: &StreamState,
         client: &TcpStream,
         server: &TcpStream,
+        may_commit: impl FnOnce() -> bool,
     ) -> Result<(), HandoverError> {
         let body = serde_json::to_vec(state).map_err(io::Error::from)?;
         let mut message = MAGIC.to_vec();
@@ -227,8 +232,20 @@
         if within(self.0.read_u8()).await? != ACCEPTED {
             return Err(HandoverError::Declined);
         }
-        // One byte fits into an empty send buffer: it is delivered unless the receiver has gone.
-        within(self.0.write_u8(COMMIT)).await
+        if !may_commit() {
+            return Err(HandoverError::Ended);
+        }
+        commit(&self.0)
+    }
+}
+
+/// Commits a transfer, with no other task between the check before and the caller's next step. One byte fits into an
+/// empty send buffer: it is delivered unless the receiver has gone.
+fn commit(stream: &UnixStream) -> Result<(), HandoverError> {
+    let flags = SendFlags::NOSIGNAL | SendFlags::DONTWAIT;
+    match rustix::net::send(stream, &[COMMIT], flags).map_err(io::Error::from)? {
+        1 => Ok(()),
+        _ => Err(HandoverError::Declined),
     }
 }
 
@@ -420,7 +437,7 @@
             // The largest event, which arrives in pieces.
             let large = StreamState { event: Base64Bytes(vec![b'x'; 64 * 1024]), ..stream_state() };
             for state in [stream_state(), large] {
-                connect_ready(&path).await.send(&state, &client, &server).await.unwrap();
+                connect_ready(&path).await.send(&state, &client, &server, || true).await.unwrap();
                 wait_until(|| {
                     seen.borrow().1 == seen.borrow().0.len() && seen.borrow().0.last() == Some(&state)
                 })
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod operators;
 pub mod program;
 pub mod servers;
+pub mod shutdown;
 pub mod sse;
 pub mod usage;
 pub mod websocket_stream;
--- a/router/src/program.rs
+++ b/router/src/program.rs
@@ -1,11 +1,12 @@
 //! Runs one router: reads the configuration, starts all parts, handles signals and shuts down.
 
-use crate::clients::{self, ACCEPT_AFTER_STOP, Shared, openai, platform, websocket};
+use crate::clients::{self, Shared, openai, platform, websocket};
 use crate::config::{self, Config};
 use crate::lifecycle::Event;
+use crate::shutdown::Shutdown;
 use crate::{core, handover, list, live, log, operators, servers, usage};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -18,8 +19,6 @@
 const MAX_HANDOVER_DELAY: Duration = Duration::from_secs(3);
 /// Grace for releasing a lease beyond the time in the settings, since releases over sockets take time.
 const RELEASE_GRACE: Duration = Duration::from_millis(300);
-/// Requests that are still open after the stop timeout are failed; this is the time to send those answers.
-const FAILURE_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Why the router failed.
 #[derive(Debug, thiserror::Error)]
@@ -239,36 +238,14 @@
         actix_rt::time::sleep(handover_delay).await;
         handover.begin();
     });
-    actix_rt::time::sleep(ACCEPT_AFTER_STOP).await;
-    let deadline = Instant::now() + config.stop_timeout;
-    let requests_are_open =
-        || shared.accepting() || shared.open_connections() > 0 || core.open_requests() > 0;
-    let under_way = || requests_are_open() || core.lease_counts().0 > 0;
-    // Since when leases but no requests have been open.
-    let mut only_leases_since = None;
-    while under_way() && Instant::now() < deadline {
-        if requests_are_open() {
-            only_leases_since = None;
-        } else if only_leases_since.get_or_insert_with(Instant::now).elapsed()
-            > lease_config.release_time_limit()
-        {
-            // Leases past the release time limit are not waited for: servers free what a stopped router left behind
-            // some seconds later.
-            log!("stopping leases={} reason=time-to-release-over", core.lease_counts().0);
-            break;
-        }
-        actix_rt::time::sleep(Duration::from_millis(10)).await;
-    }
-    if core.open_requests() > 0 {
-        core.fail_all();
-        let deadline = Instant::now() + FAILURE_ANSWER_TIMEOUT;
-        while under_way() && Instant::now() < deadline {
-            actix_rt::time::sleep(Duration::from_millis(10)).await;
-        }
-    }
-    if let Some(usage) = usage {
-        usage.stop().await;
-    }
+    let shutdown = Shutdown {
+        core: core.clone(),
+        shared: shared.clone(),
+        usage,
+        stop_timeout: config.stop_timeout,
+        release_time_limit: lease_config.release_time_limit(),
+    };
+    shutdown.run().await;
     let (ids, servers) = core.table_sizes();
     let (busy, open, holds) = (core.open_requests(), shared.open_connections(), core.lease_counts().0);
     log!("stopped requests={busy} connections={open} ids={ids} servers={servers} holds={holds}");
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -388,7 +388,8 @@
             bill: self.core.bill(&order.exchange.call),
         };
         let server = source.detach()?;
-        match call.send(&form, &client, &server).await {
+        let may_commit = || self.core.may_hand_over(order.request);
+        match call.send(&form, &client, &server, may_commit).await {
             Ok(()) => Some(RelayEnd::HandedOver),
             Err(reason) => {
                 log_kept(&reason);
--- /dev/null
+++ b/router/tests/one_entry_per_request.rs
@@ -0,0 +1,249 @@
+//! The usage ledger at a stop: each accepted request has exactly one entry, however it ended, and what could not be
+//! written is counted.
+
+mod standins;
+
+use fawnstream_ledger::entry::{Entry, Outcome, Record};
+use fawnstream_ledger::store::read_all;
+use rustix::process::{Pid, Signal, kill_process};
+use standins::{BothFronts, READ, RELEASED, Router, chunk, read_message, start_router, start_server};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+/// The head of a writer's stream.
+const STREAM_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// A writer's answer to a body with this text never begins.
+const SILENT: &str = "no answer";
+/// A writer's answer to a body with this text is complete.
+const SHORT: &str = "a short answer";
+
+fn start_reader() -> SocketAddr {
+    start_server(|head, _| Some(if head.starts_with("DELETE") { RELEASED } else { READ }.to_owned()))
+}
+
+fn event(text: &str) -> String {
+    chunk(&format!("data: {{\"choices\":[{{\"index\":0,\"delta\":{{\"content\":\"{text}\"}}}}]}}\n\n"))
+}
+
+fn last_events() -> String {
+    let usage = chunk("data: {\"usage\":{\"prompt_tokens\":90,\"completion_tokens\":7}}\n\n");
+    format!("{usage}{}0\r\n\r\n", chunk("data: [DONE]\n\n"))
+}
+
+/// Starts a writer whose answers go on until their connections end, unless the request's body asks for another one.
+fn start_endless_writer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            std::thread::spawn(move || write_answer(stream));
+        }
+    });
+    address
+}
+
+fn write_answer(mut stream: TcpStream) {
+    let mut from = BufReader::new(stream.try_clone().unwrap());
+    let Some((head, body)) = read_message(&mut from) else { return };
+    let body = String::from_utf8_lossy(&body).into_owned();
+    if head.starts_with("DELETE") {
+        let _ = stream.write_all(RELEASED.as_bytes());
+        return;
+    }
+    if body.contains(SILENT) {
+        let _ = stream.read(&mut [0; 16]);
+        return;
+    }
+    let _ = stream.write_all(format!("{STREAM_HEAD}{}", event("a")).as_bytes());
+    if body.contains(SHORT) {
+        let _ = stream.write_all(last_events().as_bytes());
+        return;
+    }
+    while stream.write_all(event("b").as_bytes()).is_ok() {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Writes a ledger's configuration without a sink; returns its path and the folder of the ledger.
+fn write_ledger_config(folder: &Path) -> (PathBuf, PathBuf) {
+    let usage = folder.join("usage");
+    let text = include_str!("../../deploy/ledger.toml").split("[sink]").next().unwrap();
+    let text = text.replace("/var/lib/fawnstream/usage", usage.to_str().unwrap());
+    let path = folder.join("ledger.toml");
+    std::fs::write(&path, text).unwrap();
+    (path, usage)
+}
+
+fn entries(usage: &Path) -> Vec<Entry> {
+    let mut entries = Vec::new();
+    let collect = |record: Record| {
+        if let Record::Entry(entry) = record {
+            entries.push(*entry);
+        }
+    };
+    read_all::<Record>(usage, "usage", collect).unwrap();
+    entries
+}
+
+/// A request of the platform's protocol.
+fn platform_request(id: u64, body: &str) -> String {
+    format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:016x}\r\nX-Call-Class: log-chat\r\n\
+         X-Caller: donaupay\r\nX-Route-Hash: {id:016x}\r\nX-Budget: 9\r\nX-Call-Info: prompt_len=90,max_out=80\r\n\
+         Content-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Sends a request of the platform's protocol, and waits until the answer begins if `begins`.
+fn ask_platform(router: &BothFronts, id: u64, body: &str, begins: bool) -> TcpStream {
+    send(router.platform, &platform_request(id, body), begins)
+}
+
+/// Sends a request of the OpenAI-style API.
+fn ask_openai(router: &BothFronts, streamed: bool, text: &str) -> TcpStream {
+    let body = format!(
+        "{{\"model\":\"log-chat\",\"stream\":{streamed},\"messages\":[{{\"role\":\"user\",\"content\":\"{text}\"}}]}}"
+    );
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    send(router.openai, &head, streamed)
+}
+
+fn send(address: SocketAddr, message: &str, begins: bool) -> TcpStream {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(standins::STEP_TIMEOUT)).unwrap();
+    stream.write_all(message.as_bytes()).unwrap();
+    if begins {
+        let mut start = [0; 12];
+        stream.read_exact(&mut start).unwrap();
+        assert_eq!(&start, b"HTTP/1.1 200");
+    }
+    stream
+}
+
+fn terminate(child: &std::process::Child) {
+    kill_process(Pid::from_child(child), Signal::TERM).unwrap();
+}
+
+/// Answers under way when the stop timeout ends must not go without an entry, on either front, nor may a request whose
+/// client has left, or which no server has answered.
+#[test]
+fn answers_that_outlast_the_stop_timeout_have_one_entry_each() {
+    let folder = tempfile::tempdir().unwrap();
+    let (config, usage) = write_ledger_config(folder.path());
+    let arguments = ["--stop-timeout", "1", "--ledger", config.to_str().unwrap()];
+    let mut router = standins::start_both_fronts_with(start_reader(), start_endless_writer(), &arguments);
+    let streams = [
+        ask_platform(&router, 1, "{\"text\":\"long\"}", true),
+        ask_openai(&router, true, "long and streamed"),
+        ask_openai(&router, false, "long and whole"),
+        ask_platform(&router, 2, &format!("{{\"text\":\"{SILENT}\"}}"), false),
+    ];
+    drop(ask_platform(&router, 3, "{\"text\":\"client leaves\"}", true));
+    let mut short = ask_platform(&router, 4, &format!("{{\"text\":\"{SHORT}\"}}"), true);
+    short.read_exact(&mut [0; 16]).unwrap();
+    std::thread::sleep(Duration::from_millis(300));
+    terminate(&router.child);
+    let stopped_at = Instant::now();
+    assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    assert!(stopped_at.elapsed() < Duration::from_secs(5), "{:?}", stopped_at.elapsed());
+    drop(streams);
+    let mut outcomes: Vec<(Outcome, bool)> =
+        entries(&usage).iter().map(|entry| (entry.outcome, entry.exact)).collect();
+    outcomes.sort_by_key(|(outcome, _)| format!("{outcome:?}"));
+    let broken = (Outcome::Broken, false);
+    let expected =
+        [broken, broken, broken, (Outcome::Failed, true), (Outcome::Left, false), (Outcome::Served, true)];
+    assert_eq!(outcomes, expected);
+}
+
+/// Starts a router on an inherited clients' socket. It hands streams over through a socket in `shared`.
+fn start_inheriting(folder: &Path, listener: &TcpListener, shared: &Path, arguments: &[&str]) -> Router {
+    let text = include_str!("config.json")
+        .replace("{d}", "127.0.0.1:9")
+        .replace("{r1}", &start_reader().to_string())
+        .replace("{w1}", &start_endless_writer().to_string());
+    std::fs::write(folder.join("config.json"), text).unwrap();
+    let mut command = Command::new("sh");
+    command.args(["-c", "exec 3<&0 0</dev/null && exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_fawnstream")]);
+    command.args(arguments).env_clear();
+    command.env("PROXY_CONFIG", folder.join("config.json")).env("PROXY_FD", "3").env("TMPDIR", shared);
+    command.stdin(OwnedFd::from(listener.try_clone().unwrap())).stderr(Stdio::piped());
+    start_router(command, "inheriting")
+}
+
+/// A process that declines streams until `from` and then accepts each of them so late that its sender may have stopped
+/// waiting for the stream's end meanwhile. Returns the ids of streams that were committed to it.
+fn start_late_successor(shared: &Path, from: Arc<Mutex<Option<Instant>>>) -> Arc<Mutex<Vec<String>>> {
+    let committed = Arc::<Mutex<Vec<String>>>::default();
+    let path = shared.join("fawnstream.handover");
+    std::fs::remove_file(&path).unwrap();
+    let listener = UnixListener::bind(path).unwrap();
+    let record = committed.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            if from.lock().unwrap().is_none_or(|from| Instant::now() < from) {
+                continue;
+            }
+            let record = record.clone();
+            std::thread::spawn(move || accept_late(stream, &record));
+        }
+    });
+    committed
+}
+
+fn accept_late(mut stream: UnixStream, committed: &Mutex<Vec<String>>) -> Option<()> {
+    stream.write_all(b"r").ok()?;
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).ok()?;
+    let mut state = vec![0; u32::from_be_bytes(head[8..].try_into().ok()?) as usize];
+    stream.read_exact(&mut state).ok()?;
+    std::thread::sleep(Duration::from_millis(180));
+    stream.write_all(b"y").ok()?;
+    let mut letter = [0];
+    stream.read_exact(&mut letter).ok()?;
+    assert_eq!(&letter, b"g");
+    let state: serde_json::Value = serde_json::from_slice(&state).ok()?;
+    committed.lock().unwrap().push(state["label"].as_str()?.to_owned());
+    Some(())
+}
+
+/// A stream that is being handed over when the stop timeout ends must not be billed by both processes, nor by neither.
+#[test]
+fn stream_offered_as_the_stop_timeout_ends_is_billed_by_one_process() {
+    const STREAMS: u64 = 12;
+    let folder = tempfile::tempdir().unwrap();
+    let (config, usage) = write_ledger_config(folder.path());
+    let arguments = ["--stop-timeout", "3", "--ledger", config.to_str().unwrap()];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shared = folder.path().join("t");
+    std::fs::create_dir(&shared).unwrap();
+    let mut router = start_inheriting(folder.path(), &listener, &shared, &arguments);
+    let from = Arc::<Mutex<Option<Instant>>>::default();
+    let committed = start_late_successor(&shared, from.clone());
+    let streams: Vec<TcpStream> = (1..=STREAMS)
+        .map(|id| send(router.clients, &platform_request(id, "{\"text\":\"long\"}"), true))
+        .collect();
+    // Offers begin 3 s after SIGTERM, and the stop timeout ends after 3.6 s.
+    terminate(&router.child);
+    *from.lock().unwrap() = Some(Instant::now() + Duration::from_millis(3_520));
+    assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    std::thread::sleep(Duration::from_millis(100));
+    drop(streams);
+    let mut billed: Vec<String> = entries(&usage).into_iter().map(|entry| entry.label).collect();
+    let committed = committed.lock().unwrap().clone();
+    println!("{} entries, {} committed", billed.len(), committed.len());
+    billed.extend(committed);
+    billed.sort();
+    assert_eq!(billed, (1..=STREAMS).map(|id| format!("{id:016x}")).collect::<Vec<_>>());
+}
--- a/router/tests/standins/mod.rs
+++ b/router/tests/standins/mod.rs
@@ -209,6 +209,11 @@
 
 /// Starts such a router with one reader and one writer.
 pub fn start_both_fronts(reader: SocketAddr, writer: SocketAddr) -> BothFronts {
+    start_both_fronts_with(reader, writer, &[])
+}
+
+/// Starts such a router with further arguments.
+pub fn start_both_fronts_with(reader: SocketAddr, writer: SocketAddr, arguments: &[&str]) -> BothFronts {
     let folder = tempfile::tempdir().unwrap();
     let config = include_str!("../config.json")
         .replace("{d}", "127.0.0.1:9")
@@ -221,7 +226,7 @@
     std::fs::write(folder.path().join("openai.toml"), models).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
     command.env_clear().env("PROXY_CONFIG", folder.path().join("config.json"));
-    command.arg("--openai").arg(folder.path().join("openai.toml"));
+    command.arg("--openai").arg(folder.path().join("openai.toml")).args(arguments);
     let mut child = command.stdin(Stdio::null()).stderr(Stdio::piped()).spawn().unwrap();
     let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
     let mut address = |what: &str| -> SocketAddr {
