A stream that is handed over twice keeps the billing details of its first process

Cause: the offer of a stream computed its billing details from the call, which in a process that took the stream over is a stub without tenant, conversation and body.

Change: OpenRequest::origin keeps what the other process said; Core::billing_details passes it on.

Measured: answer_that_is_handed_over_twice_is_billed_to_its_tenant failed before (tenants "" and one Some(3) as repeat_of) and passes now, in 2.6 s.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -218,6 +218,16 @@
     client_left: bool,
     /// Its final outcome was counted and logged.
     outcome_recorded: Cell<bool>,
+    /// Where it came from.
+    origin: Origin,
+}
+
+/// Where a request came from.
+enum Origin {
+    /// From a client.
+    Client,
+    /// From another process, with what it is billed by if that process kept a ledger.
+    OtherProcess(Option<BillingDetails>),
 }
 
 /// An update of a server in the list, for the owner of long-lived connections.
@@ -364,9 +374,16 @@
         tenant.and_then(|tenant| self.names.tenants.get(tenant.0)).map_or("", |name| name)
     }
 
-    /// What a request is billed by, if a ledger is kept.
-    pub fn bill(&self, call: &crate::exchange::Call) -> Option<BillingDetails> {
-        Some(self.usage.as_ref()?.billing_details(call, self.tenant_name(call.tenant)))
+    /// What a request is billed by, if a ledger is kept. For a stream from another process these are that process's
+    /// details: its call is not known here.
+    pub fn billing_details(&self, request: RequestId) -> Option<BillingDetails> {
+        let requests = self.requests.borrow();
+        let open = requests.get(&request)?;
+        let call = &open.exchange.call;
+        match &open.origin {
+            Origin::Client => Some(self.usage.as_ref()?.billing_details(call, self.tenant_name(call.tenant))),
+            Origin::OtherProcess(details) => details.clone(),
+        }
     }
 
     /// The usage ledger, if one is kept.
@@ -618,6 +635,7 @@
             settled: false,
             client_left: false,
             outcome_recorded: Cell::new(false),
+            origin: Origin::Client,
         };
         if let Some(usage) = &self.usage {
             usage.request_started(id, &exchange.call, self.tenant_name(exchange.call.tenant));
@@ -685,6 +703,7 @@
             settled: true,
             client_left: false,
             outcome_recorded: Cell::new(false),
+            origin: Origin::OtherProcess(bill.clone()),
         };
         if let (Some(usage), Some(bill)) = (&self.usage, bill) {
             usage.request_received(request, bill);
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -385,7 +385,7 @@
             done: events.done,
             kept: events.cached_tokens,
             used: events.usage,
-            bill: self.core.bill(&order.exchange.call),
+            bill: self.core.billing_details(order.request),
         };
         let server = source.detach()?;
         let may_commit = || self.core.may_hand_over(order.request);
--- a/router/tests/one_entry_per_request.rs
+++ b/router/tests/one_entry_per_request.rs
@@ -13,6 +13,7 @@
 use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::{Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -23,6 +24,8 @@
 const SILENT: &str = "no answer";
 /// A writer's answer to a body with this text is complete.
 const SHORT: &str = "a short answer";
+/// Ends all answers of a writer.
+type Finish = Arc<AtomicBool>;
 
 fn start_reader() -> SocketAddr {
     start_server(|head, _| Some(if head.starts_with("DELETE") { RELEASED } else { READ }.to_owned()))
@@ -39,17 +42,24 @@
 
 /// Starts a writer whose answers go on until their connections end, unless the request's body asks for another one.
 fn start_endless_writer() -> SocketAddr {
+    start_writer(&Finish::default())
+}
+
+/// Starts such a writer, whose answers also end when `finish` is set.
+fn start_writer(finish: &Finish) -> SocketAddr {
+    let finish = finish.clone();
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || write_answer(stream));
+            let finish = finish.clone();
+            std::thread::spawn(move || write_answer(stream, &finish));
         }
     });
     address
 }
 
-fn write_answer(mut stream: TcpStream) {
+fn write_answer(mut stream: TcpStream, finish: &AtomicBool) {
     let mut from = BufReader::new(stream.try_clone().unwrap());
     let Some((head, body)) = read_message(&mut from) else { return };
     let body = String::from_utf8_lossy(&body).into_owned();
@@ -62,13 +72,13 @@
         return;
     }
     let _ = stream.write_all(format!("{STREAM_HEAD}{}", event("a")).as_bytes());
-    if body.contains(SHORT) {
-        let _ = stream.write_all(last_events().as_bytes());
-        return;
-    }
-    while stream.write_all(event("b").as_bytes()).is_ok() {
+    while !body.contains(SHORT) && !finish.load(Ordering::Relaxed) {
+        if stream.write_all(event("b").as_bytes()).is_err() {
+            return;
+        }
         std::thread::sleep(Duration::from_millis(20));
     }
+    let _ = stream.write_all(last_events().as_bytes());
 }
 
 /// Writes a ledger's configuration without a sink; returns its path and the folder of the ledger.
@@ -94,9 +104,14 @@
 
 /// A request of the platform's protocol.
 fn platform_request(id: u64, body: &str) -> String {
+    tenant_request(id, "donaupay", body)
+}
+
+/// Such a request of another tenant.
+fn tenant_request(id: u64, tenant: &str, body: &str) -> String {
     format!(
         "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nX-Call-Id: {id:016x}\r\nX-Call-Class: log-chat\r\n\
-         X-Caller: donaupay\r\nX-Route-Hash: {id:016x}\r\nX-Budget: 9\r\nX-Call-Info: prompt_len=90,max_out=80\r\n\
+         X-Caller: {tenant}\r\nX-Route-Hash: {id:016x}\r\nX-Budget: 9\r\nX-Call-Info: prompt_len=90,max_out=80\r\n\
          Content-Length: {}\r\n\r\n{body}",
         body.len()
     )
@@ -168,11 +183,19 @@
 }
 
 /// Starts a router on an inherited clients' socket. It hands streams over through a socket in `shared`.
-fn start_inheriting(folder: &Path, listener: &TcpListener, shared: &Path, arguments: &[&str]) -> Router {
+fn start_inheriting(
+    folder: &Path,
+    listener: &TcpListener,
+    writer: SocketAddr,
+    shared: &Path,
+    arguments: &[&str],
+) -> Router {
+    let tenants = "[{\"name\": \"donaupay\", \"quota_per_s\": 100.0}";
     let text = include_str!("config.json")
         .replace("{d}", "127.0.0.1:9")
         .replace("{r1}", &start_reader().to_string())
-        .replace("{w1}", &start_endless_writer().to_string());
+        .replace("{w1}", &writer.to_string())
+        .replace(tenants, &format!("{tenants}, {{\"name\": \"innsoft\", \"quota_per_s\": 100.0}}"));
     std::fs::write(folder.join("config.json"), text).unwrap();
     let mut command = Command::new("sh");
     command.args(["-c", "exec 3<&0 0</dev/null && exec \"$0\" \"$@\"", env!("CARGO_BIN_EXE_fawnstream")]);
@@ -228,7 +251,8 @@
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let shared = folder.path().join("t");
     std::fs::create_dir(&shared).unwrap();
-    let mut router = start_inheriting(folder.path(), &listener, &shared, &arguments);
+    let writer = start_endless_writer();
+    let mut router = start_inheriting(folder.path(), &listener, writer, &shared, &arguments);
     let from = Arc::<Mutex<Option<Instant>>>::default();
     let committed = start_late_successor(&shared, from.clone());
     let streams: Vec<TcpStream> = (1..=STREAMS)
@@ -247,3 +271,50 @@
     billed.sort();
     assert_eq!(billed, (1..=STREAMS).map(|id| format!("{id:016x}")).collect::<Vec<_>>());
 }
+
+/// Two new versions in a row, while answers are under way: each answer is handed over twice, and must be billed to its
+/// own tenant and as a request of its own, not as a repeat of another.
+#[test]
+fn answer_that_is_handed_over_twice_is_billed_to_its_tenant() {
+    let folder = tempfile::tempdir().unwrap();
+    let (config, usage) = write_ledger_config(folder.path());
+    let arguments = ["--ledger", config.to_str().unwrap()];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shared = folder.path().join("t");
+    std::fs::create_dir(&shared).unwrap();
+    let finish = Finish::default();
+    let writer = start_writer(&finish);
+    let start = || start_inheriting(folder.path(), &listener, writer, &shared, &arguments);
+    let mut router = start();
+    let tenants = ["donaupay", "innsoft", "innsoft"];
+    let streams: Vec<TcpStream> = (1..)
+        .zip(tenants)
+        .map(|(id, tenant)| {
+            let body = format!("{{\"text\":\"number {id}\"}}");
+            send(router.clients, &tenant_request(id, tenant, &body), true)
+        })
+        .collect();
+    for id in [11, 12] {
+        let next = start();
+        next.wait_for_metric("router_targets", 2);
+        terminate(&router.child);
+        assert_eq!(router.child.wait().unwrap().code(), Some(0));
+        next.wait_for_metric("router_concurrent", tenants.len() as u64);
+        // Its entry shows that this process has the ledger now.
+        next.request(id, id, "log-chat", "donaupay", "9", &format!("{{\"text\":\"{SHORT} {id}\"}}"));
+        next.wait_for_metric("router_ledger_entries", 1);
+        router = next;
+    }
+    finish.store(true, Ordering::Relaxed);
+    router.wait_for_metric("router_ledger_entries", 1 + tenants.len() as u64);
+    drop((router, streams));
+    let mut billed: Vec<(String, String, Outcome, Option<u64>)> = entries(&usage)
+        .into_iter()
+        .map(|entry| (entry.label, entry.tenant, entry.outcome, entry.repeat_of))
+        .collect();
+    billed.sort_by(|a, b| a.0.cmp(&b.0));
+    let expected = (1..).zip(tenants).chain([(11, "donaupay"), (12, "donaupay")]);
+    let expected =
+        expected.map(|(id, tenant)| (format!("{id:016x}"), tenant.to_owned(), Outcome::Served, None));
+    assert_eq!(billed, expected.collect::<Vec<_>>());
+}
