A stop is not held up by a ledger that cannot write, and counts what has no entry

What operators saw: a router that was told to end while another process had the ledger's files stood still for up to 60 s (a trace of three processes in a row: 59 s in `join`), and dropped its queue uncounted. A disk that hangs in a sync did the same for as long as it hung. Requests beyond a full queue were counted twice.

Cause: the ledger's thread was taken to take every event and to end soon after it was told to; the handle knew nothing of what it had reported.

The faults library can delay syncs.

--- a/faults/shim/faults.c
+++ b/faults/shim/faults.c
@@ -19,7 +19,7 @@
 #include <time.h>
 #include <unistd.h>
 
-enum fault_kind { ACCEPT, CONNECT, SOCKET, OPEN, WRITE, SYNC, WAIT, SHORT, EXHAUSTED, FAULT_KINDS };
+enum fault_kind { ACCEPT, CONNECT, SOCKET, OPEN, WRITE, SYNC, WAIT, SHORT, EXHAUSTED, SLOW_SYNC, FAULT_KINDS };
 
 struct control {
     _Atomic uint32_t per_mille[16];
@@ -265,14 +265,26 @@
     return real_ftruncate64(fd, length);
 }
 
+/* A disk that answers only after this time, in seconds. */
+#define SLOW_SYNC_SECONDS 10
+
+static void delay_sync(int fd) {
+    if (is_tracked(fd) && in_folder[fd] && inject(SLOW_SYNC)) {
+        struct timespec delay = {.tv_sec = SLOW_SYNC_SECONDS};
+        nanosleep(&delay, NULL);
+    }
+}
+
 int fsync(int fd) {
     REAL(fsync);
+    delay_sync(fd);
     if (is_tracked(fd) && in_folder[fd] && inject(SYNC)) FAIL(ENOSPC, EIO);
     return real_fsync(fd);
 }
 
 int fdatasync(int fd) {
     REAL(fdatasync);
+    delay_sync(fd);
     if (is_tracked(fd) && in_folder[fd] && inject(SYNC)) FAIL(ENOSPC, EIO);
     return real_fdatasync(fd);
 }
--- a/faults/src/lib.rs
+++ b/faults/src/lib.rs
@@ -38,6 +38,8 @@
     Short = 7,
     /// `accept4`: the process is out of descriptors (EMFILE).
     Exhausted = 8,
+    /// `fsync` and `fdatasync` of a file under the folder take 10 s.
+    SlowSync = 9,
 }
 
 /// The path of the preloaded library.
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -705,8 +705,12 @@
             outcome_recorded: Cell::new(false),
             origin: Origin::OtherProcess(bill.clone()),
         };
-        if let (Some(usage), Some(bill)) = (&self.usage, bill) {
-            usage.request_received(request, bill);
+        match (&self.usage, bill) {
+            (Some(usage), bill) => usage.request_received(request, bill),
+            (None, Some(_)) => {
+                log!("ledger off id={} reason=billed-request-taken-over", exchange.call.label);
+            }
+            (None, None) => {}
         }
         self.requests.borrow_mut().insert(request, open);
         let end = self.reattach_client(request, &exchange);
--- a/router/tests/one_entry_per_request.rs
+++ b/router/tests/one_entry_per_request.rs
@@ -3,8 +3,10 @@
 
 mod standins;
 
+use fawnstream_faults::{FaultControl, FaultKind};
 use fawnstream_ledger::entry::{Entry, Outcome, Record};
 use fawnstream_ledger::store::read_all;
+use rstest::rstest;
 use rustix::process::{Pid, Signal, kill_process};
 use standins::{BothFronts, READ, RELEASED, Router, chunk, read_message, start_router, start_server};
 use std::io::{BufReader, Read, Write};
@@ -318,3 +320,54 @@
         expected.map(|(id, tenant)| (format!("{id:016x}"), tenant.to_owned(), Outcome::Served, None));
     assert_eq!(billed, expected.collect::<Vec<_>>());
 }
+
+/// A disk that fails or hangs at the stop must not hold the process up, and the log says in time how many requests have
+/// no entry: SIGKILL may be near.
+#[rstest]
+#[case::failing(FaultKind::Sync)]
+#[case::slow(FaultKind::SlowSync)]
+fn stop_with_a_bad_disk_is_bounded_and_says_what_is_missing(#[case] fault: FaultKind) {
+    const SERVED: u64 = 3;
+    const UNDER_WAY: u64 = 2;
+    let folder = tempfile::tempdir().unwrap();
+    let (config, usage) = write_ledger_config(folder.path());
+    let control = FaultControl::create(&folder.path().join("control")).unwrap();
+    let text = include_str!("config.json")
+        .replace("{d}", "127.0.0.1:9")
+        .replace("{r1}", &start_reader().to_string())
+        .replace("{w1}", &start_endless_writer().to_string());
+    std::fs::write(folder.path().join("config.json"), text).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_fawnstream"));
+    command.args(["--stop-timeout", "1", "--ledger"]).arg(&config).env_clear();
+    command.env("PROXY_CONFIG", folder.path().join("config.json"));
+    command.stdin(Stdio::null()).stderr(Stdio::piped());
+    control.preload(&mut command, 7, Some(&usage));
+    let mut router = start_router(command, "router");
+    for id in 1..=SERVED {
+        router.request(id, id, "log-chat", "donaupay", "9", &format!("{{\"text\":\"{SHORT} {id}\"}}"));
+    }
+    router.wait_for_metric("router_ledger_entries", SERVED);
+    control.set_rate(fault, 1_000).unwrap();
+    let streams: Vec<TcpStream> = (SERVED + 1..=SERVED + UNDER_WAY)
+        .map(|id| send(router.clients, &platform_request(id, &format!("{{\"text\":\"long {id}\"}}")), true))
+        .collect();
+    terminate(&router.child);
+    let stopped_at = Instant::now();
+    let says = |text: &str| router.log.lock().unwrap().iter().any(|line| line.contains(text));
+    let notice = format!("ledger is not written yet missing={UNDER_WAY}");
+    while !says(&notice) {
+        // The stop timeout ends after 1.6 s.
+        assert!(stopped_at.elapsed() < Duration::from_millis(2_200), "{:?}", router.log.lock().unwrap());
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    assert_eq!(router.child.wait().unwrap().code(), Some(0));
+    assert!(stopped_at.elapsed() < Duration::from_secs(6), "{:?}", stopped_at.elapsed());
+    std::thread::sleep(Duration::from_millis(50));
+    let closed = format!("ledger closed without entries that are due entries={SERVED} lost={UNDER_WAY}");
+    assert!(
+        router.log.lock().unwrap().iter().any(|line| line.contains(&closed)),
+        "{:?}",
+        router.log.lock().unwrap()
+    );
+    drop(streams);
+}
--- a/router/tests/standins/mod.rs
+++ b/router/tests/standins/mod.rs
@@ -4,7 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Longest wait for anything expected; only a failing test takes this long.
@@ -109,6 +109,8 @@
     pub child: Child,
     pub clients: SocketAddr,
     pub operators: SocketAddr,
+    /// What it has logged since its start.
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 impl Drop for Router {
@@ -127,8 +129,10 @@
         line.split("listen=").nth(1).unwrap().split(' ').next().unwrap().parse().unwrap()
     };
     let (operators, clients) = (address("operators listen="), address("started name="));
-    std::thread::spawn(move || lines.for_each(drop));
-    Router { child, clients, operators }
+    let log = Arc::<Mutex<Vec<String>>>::default();
+    let record = log.clone();
+    std::thread::spawn(move || lines.for_each(|line| record.lock().unwrap().push(line)));
+    Router { child, clients, operators, log }
 }
 
 impl Router {
