A process waits for the ledger's files as long as it lives, and for the export's

Cause: the previous process was taken to let go of its files within 60 s, at a moment at which somebody looks.

Change: fawnstream_ledger::lock::LogLock waits in the system (flock) or not; LogWriter::open_locked opens a log under it.

Measured: files_go_to_the_process_that_waits and export_waits_for_its_files failed with the sources of before and pass now.

--- a/ledger/src/store.rs
+++ b/ledger/src/store.rs
@@ -4,10 +4,11 @@
 //! first record of a segment is its head. A file that ends in an incomplete record, in zeros, or in a record with a
 //! wrong checksum is torn there, and that record is dropped. Other invalid bytes are damage: an error, never skipped.
 
+use crate::lock::LogLock;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
-use std::fs::{File, OpenOptions, TryLockError};
+use std::fs::{File, OpenOptions};
 use std::io::{self, BufReader, Read, Write};
 use std::marker::PhantomData;
 use std::path::{Path, PathBuf};
@@ -320,32 +321,35 @@
     folder_synced: bool,
     max_segment_bytes: u64,
     path: PathBuf,
-    _lock: File,
+    _lock: LogLock,
     _of: PhantomData<T>,
 }
 
 impl<T: Serialize + DeserializeOwned> LogWriter<T> {
-    /// Opens a log for writing and locks it against other processes. Passes the existing records to `on_record`, and
-    /// cuts off a torn end; returns whether there was one.
+    /// Opens a log for writing and locks it against other processes; see [`LogWriter::open_locked`].
     pub fn open(
         folder: &Path,
         kind: &'static str,
         owner: &str,
         max_segment_bytes: u64,
+        on_record: impl FnMut(T),
+    ) -> Result<(Self, bool), StoreError> {
+        LogWriter::open_locked(LogLock::try_acquire(folder, kind)?, owner, max_segment_bytes, on_record)
+    }
+
+    /// Opens a log for writing. Passes the existing records to `on_record`, and cuts off a torn end; returns whether
+    /// there was one.
+    pub fn open_locked(
+        lock: LogLock,
+        owner: &str,
+        max_segment_bytes: u64,
         mut on_record: impl FnMut(T),
     ) -> Result<(Self, bool), StoreError> {
+        let (folder, kind) = (lock.folder(), lock.kind());
         let io = |path: &Path| {
             let path = path.to_owned();
             move |error| StoreError::Io { path, error }
         };
-        std::fs::create_dir_all(folder).map_err(io(folder))?;
-        let lock_path = folder.join(format!("{kind}.lock"));
-        let lock = OpenOptions::new().create(true).append(true).open(&lock_path).map_err(io(&lock_path))?;
-        match lock.try_lock() {
-            Ok(()) => {}
-            Err(TryLockError::WouldBlock) => return Err(StoreError::Locked { path: lock_path }),
-            Err(TryLockError::Error(error)) => return Err(StoreError::Io { path: lock_path, error }),
-        }
         let (existing_owner, torn) = read_all(folder, kind, &mut on_record)?;
         if !existing_owner.is_empty() && existing_owner != owner {
             let reason = format!("belongs to {existing_owner}, not to {owner}");
--- a/router/src/usage/export.rs
+++ b/router/src/usage/export.rs
@@ -7,6 +7,7 @@
 use awc::http::header::CONTENT_TYPE;
 use fawnstream_ledger::batch::{Batch, ExportProgress, Step};
 use fawnstream_ledger::entry::{Entry, Record};
+use fawnstream_ledger::lock::LogLock;
 use fawnstream_ledger::store::{LogReader, LogWriter, StoreError};
 use serde::Serialize;
 use std::path::PathBuf;
@@ -16,7 +17,7 @@
 use tokio::sync::watch;
 
 /// Prefix of the progress log's file names.
-const PROGRESS_KIND: &str = "export";
+pub const PROGRESS_KIND: &str = "export";
 /// Timeout of a sink's answer, after which the batch is sent again.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// First delay of the exponential backoff after a failure at the sink; jitter shortens each delay by up to a half.
@@ -57,13 +58,12 @@
         settings: &Ledger,
         sink: Sink,
         router: &str,
+        lock: LogLock,
         status: Arc<LedgerStatus>,
     ) -> Result<Self, StoreError> {
         let mut progress = ExportProgress::default();
-        let (progress_log, _) =
-            LogWriter::open(&settings.folder, PROGRESS_KIND, router, PROGRESS_SEGMENT_BYTES, |step| {
-                progress.apply(step)
-            })?;
+        let on_step = |step| progress.apply(step);
+        let (progress_log, _) = LogWriter::open_locked(lock, router, PROGRESS_SEGMENT_BYTES, on_step)?;
         let ledger = LogReader::open(&settings.folder, FILE_KIND)?;
         tracing::info!(
             has = progress.last_exported,
--- a/router/src/usage/files.rs
+++ b/router/src/usage/files.rs
@@ -1,9 +1,10 @@
 //! Opens the ledger's files, and waits for the process that has them.
 
 use super::recording::MIN_RETRY_DELAY;
-use super::{FILE_KIND, UsageError, now_ms};
+use super::{FILE_KIND, UsageError, export, now_ms};
 use crate::config::ledger::Ledger;
 use fawnstream_ledger::entry::Record;
+use fawnstream_ledger::lock::LogLock;
 use fawnstream_ledger::recorder::{Recorder, RecorderConfig};
 use fawnstream_ledger::store::{LogWriter, StoreError};
 use std::sync::mpsc::SyncSender;
@@ -11,8 +12,8 @@
 
 /// Longest wait for a failing disk at the start: a restarted router must be ready within 10 s.
 const START_DISK_WAIT: Duration = Duration::from_secs(6);
-/// Longest wait for the previous process to release the ledger's files.
-const LOCK_WAIT: Duration = Duration::from_secs(60);
+/// Longest wait for the export's lock: its holder lets go of the ledger's a moment before.
+const EXPORT_LOCK_WAIT: Duration = Duration::from_secs(2);
 
 /// Where the result of the start goes.
 pub type StartResult = SyncSender<Result<(), UsageError>>;
@@ -23,6 +24,8 @@
     pub recorder: Recorder,
     /// The ledger's files.
     pub log: LogWriter<Record>,
+    /// The lock of the export's files; `None` if nothing is exported.
+    pub export_lock: Option<LogLock>,
 }
 
 /// Opens the files. If `waits`, and another process holds them, reports the start as a success and waits for them.
@@ -32,14 +35,9 @@
     waits: bool,
     started: &StartResult,
 ) -> Result<OpenLedger, UsageError> {
-    let lock_deadline = Instant::now() + LOCK_WAIT;
     let disk_deadline = Instant::now() + START_DISK_WAIT;
     loop {
-        match try_open(settings, rules) {
-            Err(StoreError::Locked { .. }) if waits && Instant::now() < lock_deadline => {
-                let _ = started.try_send(Ok(()));
-                std::thread::sleep(MIN_RETRY_DELAY);
-            }
+        match try_open(settings, rules, waits, started) {
             Err(StoreError::Io { ref error, .. })
                 if is_transient(error) && Instant::now() < disk_deadline =>
             {
@@ -50,16 +48,45 @@
     }
 }
 
-fn try_open(settings: &Ledger, rules: &RecorderConfig) -> Result<OpenLedger, StoreError> {
+fn try_open(
+    settings: &Ledger,
+    rules: &RecorderConfig,
+    waits: bool,
+    started: &StartResult,
+) -> Result<OpenLedger, StoreError> {
+    let lock = match LogLock::try_acquire(&settings.folder, FILE_KIND) {
+        Err(StoreError::Locked { .. }) if waits => {
+            tracing::info!("ledger waits for the process that has its files");
+            let _ = started.try_send(Ok(()));
+            LogLock::acquire(&settings.folder, FILE_KIND)?
+        }
+        result => result?,
+    };
     // Records are replayed as they are read, because the first one decides which period is the first open one.
     let mut recorder = Recorder::new(rules.clone(), now_ms());
-    let (log, torn) =
-        LogWriter::open(&settings.folder, FILE_KIND, &rules.router, settings.segment, |record| {
-            recorder.replay(&record)
-        })?;
+    let on_record = |record| recorder.replay(&record);
+    let (log, torn) = LogWriter::open_locked(lock, &rules.router, settings.segment, on_record)?;
     let (next, open_from) = (recorder.next_number(), recorder.first_open_period());
     tracing::info!(next, open_from, torn, "ledger open");
-    Ok(OpenLedger { recorder, log })
+    Ok(OpenLedger { recorder, log, export_lock: export_lock(settings) })
+}
+
+/// The lock of the export's files, if entries are exported.
+fn export_lock(settings: &Ledger) -> Option<LogLock> {
+    settings.sink.as_ref()?;
+    let deadline = Instant::now() + EXPORT_LOCK_WAIT;
+    loop {
+        match LogLock::try_acquire(&settings.folder, export::PROGRESS_KIND) {
+            Ok(lock) => return Some(lock),
+            Err(StoreError::Locked { .. }) if Instant::now() < deadline => {
+                std::thread::sleep(MIN_RETRY_DELAY);
+            }
+            Err(error) => {
+                tracing::error!(reason = %error, "ledger export stopped");
+                return None;
+            }
+        }
+    }
 }
 
 /// Whether the disk is full or fails, which may pass. Any other error means a wrong configuration.
--- a/router/src/usage/recording.rs
+++ b/router/src/usage/recording.rs
@@ -4,6 +4,7 @@
 use super::{LedgerStatus, export, now_ms};
 use crate::config::ledger::Ledger;
 use fawnstream_ledger::entry::Record;
+use fawnstream_ledger::lock::LogLock;
 use fawnstream_ledger::recorder::{OpenRequest, Recorder, RequestUsage};
 use fawnstream_ledger::store::LogWriter;
 use std::collections::{HashMap, VecDeque};
@@ -74,6 +75,8 @@
     router: String,
     recorder: Recorder,
     log: LogWriter<Record>,
+    /// The lock of the export's files; `None` if nothing is exported.
+    export_lock: Option<LogLock>,
     status: Arc<LedgerStatus>,
     /// Requests that have started and not ended.
     open: HashMap<u64, OpenRequest>,
@@ -88,13 +91,14 @@
 impl LedgerThread {
     /// A thread for an open ledger.
     pub fn new(settings: Ledger, router: String, opened: OpenLedger, status: Arc<LedgerStatus>) -> Self {
-        let OpenLedger { recorder, log } = opened;
+        let OpenLedger { recorder, log, export_lock } = opened;
         let (open, unsynced) = Default::default();
         LedgerThread {
             settings,
             router,
             recorder,
             log,
+            export_lock,
             status,
             open,
             unsynced,
@@ -136,8 +140,8 @@
 
     /// Starts the export, if there is a sink.
     fn start_export(&mut self, last_synced: watch::Receiver<u64>) {
-        let Some(sink) = self.settings.sink.clone() else { return };
-        match export::Export::open(&self.settings, sink, &self.router, self.status.clone()) {
+        let (Some(sink), Some(lock)) = (self.settings.sink.clone(), self.export_lock.take()) else { return };
+        match export::Export::open(&self.settings, sink, &self.router, lock, self.status.clone()) {
             Ok(export) => drop(actix_rt::spawn(export.run(last_synced))),
             Err(error) => tracing::error!(reason = %error, "ledger export stopped"),
         }
--- a/router/tests/usage_ledger.rs
+++ b/router/tests/usage_ledger.rs
@@ -1,12 +1,15 @@
 //! The router's handle on its ledger: each request that was reported has an entry or is counted as lost, once, also
 //! where another process holds the files when this one stops.
 
-use fawnstream::config::ledger::Ledger;
+mod standins;
+
+use fawnstream::config::ledger::{Ledger, Sink};
 use fawnstream::exchange::Call;
 use fawnstream::usage::UsageLedger;
+use fawnstream_ledger::batch::Step;
 use fawnstream_ledger::entry::{Outcome, Record};
 use fawnstream_ledger::recorder::RequestUsage;
-use fawnstream_ledger::store::{LogWriter, read_all};
+use fawnstream_ledger::store::{LogWriter, StoreError, read_all};
 use shedrelay::RequestId;
 use shedrelay_settings::Names;
 use std::path::Path;
@@ -136,3 +139,45 @@
     assert_eq!((count(&status.lost), count(&status.entries)), (lost, REQUESTS - lost));
     assert_eq!(entries_on_disk(folder.path()), REQUESTS - lost);
 }
+
+/// A process that waits for the files has them as soon as they are free. If it looked only now and then, a process that
+/// starts later could take them first, and keep them for as long as it runs.
+#[test]
+fn files_go_to_the_process_that_waits() {
+    for _ in 0..10 {
+        let folder = tempfile::tempdir().unwrap();
+        let other = hold_files(folder.path());
+        let ledger = start_waiting(folder.path());
+        std::thread::sleep(Duration::from_millis(20));
+        drop(other);
+        std::thread::sleep(Duration::from_millis(30));
+        let later = LogWriter::<Record>::open(folder.path(), "usage", ROUTER, SEGMENT_BYTES, drop);
+        assert!(matches!(later, Err(StoreError::Locked { .. })));
+        stop(&ledger);
+    }
+}
+
+/// The files of the export are let go of a moment after the ledger's own. A process that waited for them must export.
+#[test]
+fn export_waits_for_its_files() {
+    let folder = tempfile::tempdir().unwrap();
+    let other = hold_files(folder.path());
+    let other_export =
+        LogWriter::<Step>::open(folder.path(), "export", ROUTER, SEGMENT_BYTES, drop).unwrap().0;
+    let sink = standins::start_server(|_, _| Some("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".to_owned()));
+    let sink = Sink { address: sink, path: "/".to_owned() };
+    let names = Names { classes: vec![], kinds: vec![], tenants: vec![], zones: vec![] };
+    let settings = Ledger { sink: Some(sink), ..settings(folder.path()) };
+    let ledger = UsageLedger::start(settings, ROUTER, &names, &[], true).unwrap();
+    start_request(&ledger, 1);
+    end_request(&ledger, 1);
+    drop(other);
+    std::thread::sleep(Duration::from_millis(200));
+    drop(other_export);
+    let until = Instant::now() + standins::STEP_TIMEOUT;
+    while count(&ledger.status().exported) == 0 {
+        assert!(Instant::now() < until, "nothing is exported");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    stop(&ledger);
+}
