--- a/router/src/shutdown.rs
+++ b/router/src/shutdown.rs
@@ -85,8 +85,8 @@
     }
 }
 
-/// Closes the ledger, if there is one.
-async fn close_ledger(usage: Option<&UsageLedger>) {
+/// Closes the ledger, if there is one and it is not closed yet.
+pub async fn close_ledger(usage: Option<&UsageLedger>) {
     if let Some(usage) = usage {
         usage.stop().await;
     }
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -221,8 +221,7 @@
         let until = Instant::now() + FINAL_WRITE_TIMEOUT;
         self.send(LedgerEvent::Stop { until });
         if tokio::time::timeout(MISSING_NOTICE_DELAY, &mut thread_ended).await.is_err() {
-            tracing::warn!(missing = self.missing(), "ledger is not written yet");
-            let _ = tokio::time::timeout_at((until + THREAD_END_TIMEOUT).into(), thread_ended).await;
+            self.wait_for_missing(until, thread_ended).await;
         }
         self.status.abandoned.store(true, Ordering::Relaxed);
         let lost = self.missing();
@@ -235,6 +234,15 @@
         }
     }
 
+    /// Waits for the thread as long as entries are missing.
+    async fn wait_for_missing(&self, until: Instant, thread_ended: oneshot::Receiver<()>) {
+        let missing = self.missing();
+        if missing > 0 {
+            tracing::warn!(missing, "ledger is not written yet");
+            let _ = tokio::time::timeout_at((until + THREAD_END_TIMEOUT).into(), thread_ended).await;
+        }
+    }
+
     /// Requests that are due an entry and have none on the disk.
     fn missing(&self) -> u64 {
         self.due.get().saturating_sub(self.status.entries.load(Ordering::Relaxed))
