A stream is taken over also where its id is in use

Cause: Core::take_over refused an id in use behind the commit. Ids are refused at submission for the sake of servers; a stream that is taken over is sent to none.

Change: core/labels.rs counts the open requests of an id.

--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -1,6 +1,7 @@
 //! The core. Owns the decision module's [`Router`], the clock, the timers and all open requests, and carries out the
 //! decision module's actions. Independent of HTTP. The only place that gives a request its one final answer.
 
+mod labels;
 mod leases;
 mod repeats;
 mod stopping;
@@ -19,6 +20,7 @@
 use fawnstream_leases::{AttemptEnd, LeaseConfig, Leases, Permission, ReleaseOutcome};
 use fawnstream_ledger::entry::Tokens;
 use fawnstream_ledger::recorder::RequestUsage;
+use labels::LabelCounts;
 use leases::Releases;
 use prometheus::{Histogram, HistogramOpts};
 pub use repeats::{RepeatCounts, RepeatLimits};
@@ -260,8 +262,9 @@
     leases: RefCell<Leases<Rc<str>>>,
     releases: Releases,
     repeat_counts: RepeatCounts,
-    /// Ids of open requests as clients and servers know them.
-    labels: RefCell<HashMap<String, RequestId>>,
+    /// Ids of open requests as clients and servers know them. Two open requests have one id only where a stream was taken
+    /// over from another process, which could not know of the id's use here.
+    labels: LabelCounts,
     list: RefCell<HashMap<ServerId, Rc<Server>>>,
     /// Start times of servers, independent of steps of the wall clock.
     start_times: RefCell<StartTimes>,
@@ -313,7 +316,7 @@
             leases: RefCell::new(Leases::new(lease_config)),
             releases: Releases::default(),
             repeat_counts: RepeatCounts::default(),
-            labels: RefCell::default(),
+            labels: LabelCounts::default(),
             list: RefCell::default(),
             start_times: RefCell::default(),
             servers: RefCell::default(),
@@ -421,7 +424,7 @@
 
     /// How many request ids are in use and how many servers are listed; shows leaks when the process stops.
     pub fn table_sizes(&self) -> (usize, usize) {
-        (self.labels.borrow().len(), self.list.borrow().len())
+        (self.labels.len(), self.list.borrow().len())
     }
 
     // Metrics.
@@ -588,11 +591,11 @@
         let id = RequestId(self.last_request_id.get() + 1);
         let budget = call.budget.saturating_sub(CLIENT_MARGIN);
         let deadline = call.arrived + budget;
-        if self.labels.borrow().contains_key(&call.label) {
+        if self.labels.contains(&call.label) {
             return None;
         }
         self.last_request_id.set(id.0);
-        self.labels.borrow_mut().insert(call.label.clone(), id);
+        self.labels.add(&call.label);
         let weak = self.weak_self.clone();
         exchange.on_client_left(move || {
             if let Some(core) = weak.upgrade() {
@@ -665,24 +668,21 @@
     }
 
     /// Continues a stream that another process began. It is an open request here until it ends, and counts like any
-    /// other; the decision module is not involved, since it has not sent it. None if its id is in use.
+    /// other, also where its id is in use; the decision module is not involved, since it has not sent it.
     pub fn take_over(
         &self,
         exchange: Rc<Exchange>,
         label: &str,
         address: SocketAddr,
         bill: Option<BillingDetails>,
-    ) -> Option<(AttemptOrder, ClientEnd)> {
-        if self.labels.borrow().contains_key(&exchange.call.label) {
-            return None;
-        }
+    ) -> (AttemptOrder, ClientEnd) {
         let request = RequestId(self.last_request_id.get() + 1);
         self.last_request_id.set(request.0);
         let known = self.list.borrow().values().find(|server| server.label == label).cloned();
         let server = known
             .filter(|server| server.address == address)
             .unwrap_or_else(|| Server::new(label.to_owned(), address, Role::Writer, None));
-        self.labels.borrow_mut().insert(exchange.call.label.clone(), request);
+        self.labels.add(&exchange.call.label);
         let (cancel, stop) = oneshot::channel();
         let now = Instant::now();
         let open = OpenRequest {
@@ -727,7 +727,7 @@
             release_done: None,
             stop,
         };
-        Some((order, end))
+        (order, end)
     }
 
     /// A new client's end for a stream whose client connection was detached.
@@ -743,7 +743,7 @@
     /// A stream was handed over to another process, which counts its request.
     pub fn handed_over(&self, request: RequestId, attempt: Attempt) {
         let Some(open) = self.requests.borrow_mut().remove(&request) else { return };
-        self.labels.borrow_mut().remove(&open.exchange.call.label);
+        self.labels.remove(&open.exchange.call.label);
         log!("request id={} outcome=handed-over", open.exchange.call.label);
         if let Some(usage) = &self.usage {
             usage.request_handed_over(request);
@@ -966,7 +966,7 @@
             if requests.get(&id).is_some_and(|open| open.settled && open.current.is_none())
                 && let Some(open) = requests.remove(&id)
             {
-                self.labels.borrow_mut().remove(&open.exchange.call.label);
+                self.labels.remove(&open.exchange.call.label);
                 self.leases.borrow_mut().request_closed(id.0, self.clock_time());
             }
         }
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -125,10 +125,7 @@
         let exchange = Exchange::new(call);
         let servers = self.clone();
         Some(Box::new(move || {
-            let Some((order, end)) = servers.core.take_over(exchange, &form.server, form.address, form.bill)
-            else {
-                return log!("handover dropped reason=twice");
-            };
+            let (order, end) = servers.core.take_over(exchange, &form.server, form.address, form.bill);
             serve_client(end, client);
             actix_rt::spawn(async move {
                 let (request, attempt) = (order.request, order.attempt);
