A WebSocket connection moves only where its upgrade may be repeated

Cause: whether a connection may move was asked of its messages alone. A move sends the upgrade again, and a server that answered 101 has run it; Session::repeatable was looked at only behind failed attempts.

Change: Session::may_move asks both, at a drain and where the upstream breaks. Such a connection is closed with 1012.

--- a/sessions/src/lib.rs
+++ b/sessions/src/lib.rs
@@ -168,9 +168,9 @@
 
 struct Session {
     tenant: TenantId,
-    /// An upgrade that may have run may be repeated.
+    /// An upgrade that has or may have run may be repeated.
     repeatable: bool,
-    /// Whether it may move now. The caller knows whether a move would lose or repeat a message.
+    /// Whether a move would lose or repeat no message now, as the caller knows.
     movable: bool,
     opened_at: Millis,
     state: SessionState,
@@ -178,6 +178,13 @@
     failed_moves: u32,
 }
 
+impl Session {
+    /// Whether it may go on at another server. There its upgrade is sent again, although a server has run it.
+    fn may_move(&self) -> bool {
+        self.repeatable && self.movable
+    }
+}
+
 /// Numbers of connections by state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
@@ -291,7 +298,7 @@
     // Connections.
 
     /// A new connection of this tenant asks to be admitted; `repeatable`: its upgrade may be repeated if it
-    /// may have run. If it is queued, [`Sessions::tick`] later says where to open it or that it is refused.
+    /// has or may have run. Otherwise it never moves to another server. If it is queued, [`Sessions::tick`] later says where to open it or that it is refused.
     pub fn enqueue(
         &mut self,
         session: SessionId,
@@ -323,7 +330,7 @@
         Ok(())
     }
 
-    /// Sets whether a connection may move now.
+    /// Sets whether a move would lose or repeat no message now.
     pub fn set_movable(&mut self, session: SessionId, movable: bool) {
         if let Some(session) = self.sessions.get_mut(&session) {
             session.movable = movable;
@@ -400,7 +407,7 @@
     /// closed now.
     pub fn upstream_broke(&mut self, id: SessionId, now: Millis) -> Option<Action> {
         let session = self.sessions.get(&id)?;
-        let (opened_at, movable, state) = (session.opened_at, session.movable, session.state);
+        let (opened_at, may_move, state) = (session.opened_at, session.may_move(), session.state);
         match state {
             SessionState::Open { at } => {
                 self.servers.back_off(&self.rules, at, now);
@@ -408,7 +415,7 @@
                 let cause = if leaving(at) { CloseCause::ServerGone } else { CloseCause::Restart };
                 let due = self.servers.get(at).and_then(|server| server.drain_until);
                 let wait_until = due.unwrap_or(now + self.rules.max_move_wait);
-                if !movable
+                if !may_move
                     || wait_until <= now
                     || self.sessions_at_draining + self.without_upstream.len() >= self.rules.max_waiting_moves
                 {
@@ -546,7 +553,7 @@
                 return Some((queued, true));
             }
             let id = next_move?;
-            if self.sessions.get(&id).is_some_and(|session| session.movable) {
+            if self.sessions.get(&id).is_some_and(Session::may_move) {
                 return Some((id, false));
             }
             if actions.len() >= MAX_ACTIONS_PER_TICK {
--- a/sessions/tests/sessions.rs
+++ b/sessions/tests/sessions.rs
@@ -174,6 +174,7 @@
                         let new = matches!(action, Action::Open { .. });
                         prop_assert!(view.to.is_none(), "two attempts at once");
                         prop_assert!(!new || view.at.is_none());
+                        prop_assert!(new || session.0 % 2 == 0, "an upgrade that must not run twice is repeated");
                         view.to = Some(to.0);
                     }
                 }
@@ -424,3 +425,50 @@
     sessions.end_drain();
     assert_eq!(sessions.enqueue(SessionId(9_999), TenantId(1), true, now), Ok(()));
 }
+
+/// Opens one connection at the first server, whose upgrade may or may not be repeated.
+fn open_one(sessions: &mut Sessions, repeatable: bool) -> SessionId {
+    let id = SessionId(1);
+    sessions.enqueue(id, TenantId(1), repeatable, 0).unwrap();
+    let actions = sessions.tick(0, |_, offered| offered.first().copied());
+    assert_eq!(actions, [Action::Open { session: id, to: ServerId(1) }]);
+    assert_eq!(sessions.attempt_ended(id, AttemptOutcome::Opened, 0), None);
+    id
+}
+
+/// A server has run the upgrade of an open connection. One that must never run twice is not sent to another server when
+/// the first one drains: the connection is closed.
+#[test]
+fn unrepeatable_connection_is_closed_not_moved_when_its_server_drains() {
+    for repeatable in [false, true] {
+        let mut sessions = Sessions::new(rules(1), 7);
+        sessions.server_listed(ServerId(1), None, 0);
+        let id = open_one(&mut sessions, repeatable);
+        sessions.server_listed(ServerId(2), None, 0);
+        sessions.server_draining(ServerId(1), false, 1_000);
+        let actions = sessions.tick(2_000, |_, offered| offered.first().copied());
+        match (repeatable, &actions[..]) {
+            (true, [Action::Move { session, to: ServerId(2) }]) => assert_eq!(*session, id),
+            (false, [Action::Close { session, cause: CloseCause::Restart, .. }]) => assert_eq!(*session, id),
+            _ => panic!("repeatable {repeatable}: {actions:?}"),
+        }
+    }
+}
+
+/// Nor is it sent to another server when its upstream breaks.
+#[test]
+fn unrepeatable_connection_is_closed_not_moved_when_its_upstream_breaks() {
+    for repeatable in [false, true] {
+        let mut sessions = Sessions::new(rules(1), 7);
+        sessions.server_listed(ServerId(1), None, 0);
+        let id = open_one(&mut sessions, repeatable);
+        let action = sessions.upstream_broke(id, 1_000);
+        match (repeatable, action) {
+            (true, None) => {}
+            (false, Some(Action::Close { session, cause: CloseCause::Restart, .. })) => {
+                assert_eq!(session, id)
+            }
+            (_, action) => panic!("repeatable {repeatable}: {action:?}"),
+        }
+    }
+}
