No upgrade is sent for a WebSocket client that has gone

Cause: a client that is not read from was taken to be there. While an upgrade waited for its turn or its next server, and while an open connection had no server, only commands were waited for.

Change: ClientStream::poll_closed; the front asks it before each command and during each attempt, the relay while it waits for a server or a move.

--- a/router/src/clients/conn.rs
+++ b/router/src/clients/conn.rs
@@ -3,6 +3,7 @@
 //! while a request is in progress; this module adds the missing limits.
 
 use crate::exchange::DetachRequest;
+use crate::websocket_stream::ByteStream;
 use fawnstream_attempts::decisions::ConnectionFacts;
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -266,6 +267,15 @@
         }
     }
 
+    /// Ready once the client has closed a connection that is not read from, whatever it has sent before. Closing its
+    /// sending side alone counts, as everywhere.
+    pub fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match self.closed_behind_unread(cx) {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    }
+
     /// Notes that the client has closed the connection.
     fn set_client_closed(&self) {
         self.conn.client_closed.set(true);
@@ -292,6 +302,12 @@
     }
 }
 
+impl ByteStream for ClientStream {
+    fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        ClientStream::poll_closed(self, cx)
+    }
+}
+
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let this = self.get_mut();
--- a/router/src/clients/websocket.rs
+++ b/router/src/clients/websocket.rs
@@ -5,7 +5,7 @@
 use super::{Shared, retry_after_value};
 use crate::config::websocket::{Route, WebSocket};
 use crate::live::relay::{Relay, open_upstream};
-use crate::live::{LiveConnections, RelayCommand, refusal_name};
+use crate::live::{ConnectionHandle, LiveConnections, RelayCommand, refusal_name};
 use crate::servers::upgrade::UpgradeRequest;
 use crate::websocket_stream::WebSocketStream;
 use actix_codec::Framed;
@@ -214,6 +214,20 @@
     WebSocketStream::new(Box::new(parts.io), parts.read_buf, max_frame, true)
 }
 
+/// Waits until a client that waits for its upgrade closes its connection.
+async fn client_closed(framed: &mut FramedClient) {
+    poll_fn(|cx| framed.io_mut().poll_closed(cx)).await;
+}
+
+/// Ends an upgrade whose client has gone: its place in the queue or its attempt ends with its handle.
+fn client_left(member: &ConnectionHandle, name: &str, conn: Option<&Rc<Conn>>) {
+    if let Some(conn) = conn {
+        conn.client_closed.set(true);
+    }
+    crate::log!("websocket refused id={name} reason=client-left");
+    member.refused("client-left");
+}
+
 /// Serves one connection from its upgrade to its end.
 pub async fn serve(
     live: Rc<LiveConnections>,
@@ -249,12 +263,24 @@
         }
     };
     let (name, ask) = (member.name(), Rc::new(ask));
+    let mut framed = framed;
     // The session decisions choose the servers to try, and bound every wait.
     let upstream = loop {
-        match member.commands.recv().await {
+        let command = tokio::select! {
+            biased;
+            // Asked first, so that no attempt begins for a client that has gone.
+            () = client_closed(&mut framed) => return client_left(&member, &name, conn.as_ref()),
+            command = member.commands.recv() => command,
+        };
+        match command {
             Some(RelayCommand::OpenUpstream(server)) => {
                 let label = server.label.clone();
-                match Box::pin(open_upstream(&member, server, &ask, None, connect)).await {
+                let opened = tokio::select! {
+                    biased;
+                    () = client_closed(&mut framed) => return client_left(&member, &name, conn.as_ref()),
+                    opened = Box::pin(open_upstream(&member, server, &ask, None, connect)) => opened,
+                };
+                match opened {
                     Ok(upstream) => break Some((upstream, label)),
                     Err(error) => {
                         crate::log!("websocket attempt id={name} server={label} reason={}", error.reason);
@@ -281,7 +307,6 @@
         }
     };
     let Some((upstream, label)) = upstream else { return };
-    let mut framed = framed;
     let mut response = ws::handshake_response(request.head());
     if let Some(protocol) = &upstream.protocol {
         response.insert_header((header::SEC_WEBSOCKET_PROTOCOL, protocol.as_str()));
--- a/router/src/live/relay.rs
+++ b/router/src/live/relay.rs
@@ -55,6 +55,8 @@
 enum Event {
     Command(Option<RelayCommand>),
     Client(Result<Option<Frame>, FrameError>),
+    /// The client has closed its connection while it is not read from, since the server has gone or a move is pending.
+    ClientClosed,
     Server(Result<Option<Frame>, FrameError>),
     Attempt(Result<Upstream, UpgradeError>),
     /// A move is pending, and it would neither cut nor lose a message.
@@ -160,6 +162,7 @@
             let ended = match event {
                 Event::Command(command) => self.handle_command(command),
                 Event::Client(frame) => self.client_frame(frame),
+                Event::ClientClosed => self.client_closed(),
                 Event::Server(frame) => self.server_frame(frame),
                 Event::Attempt(result) => self.attempt_ended(result),
                 Event::Settled => self.start_attempt(),
@@ -191,6 +194,11 @@
         self.pending_move.is_some() && !self.from_client.unfinished()
     }
 
+    /// Whether the client is not read from until another server is open, or its move is deferred.
+    fn waits_for_server(&self) -> bool {
+        self.end.is_none() && (self.server.is_none() || self.client_paused())
+    }
+
     /// Whether the server is not read from because of a pending move. Its acknowledgements are needed before.
     fn server_paused(&self) -> bool {
         self.pending_move.as_ref().is_some_and(|pending| pending.attempt.is_some() || self.settled())
@@ -203,6 +211,10 @@
         if let Some(Poll::Ready(Err(_))) = self.server.as_mut().map(|server| server.poll_flush(cx)) {
             return Poll::Ready(Event::Server(Err(FrameError::Broken)));
         }
+        // Asked before an attempt goes on or begins: none is made for a client that has gone.
+        if self.waits_for_server() && self.client.poll_closed(cx).is_ready() {
+            return Poll::Ready(Event::ClientClosed);
+        }
         if let Poll::Ready(command) = self.handle.commands.poll_recv(cx)
             && self.end.is_none()
         {
@@ -370,6 +382,14 @@
         None
     }
 
+    /// The client has left. What it said before its close is passed on first, if its server is still there.
+    fn client_closed(&mut self) -> Option<&'static str> {
+        if self.pending_move.take().is_some() {
+            self.handle.attempt_ended(AttemptOutcome::Deferred);
+        }
+        self.server.is_none().then_some("client-left")
+    }
+
     /// Answers the client's close frame with the same reason.
     fn answer_close(&mut self, reason: Option<CloseReason>) -> &'static str {
         self.client.queue(Message::Close(reason));
--- a/router/src/websocket_stream.rs
+++ b/router/src/websocket_stream.rs
@@ -33,8 +33,14 @@
 }
 
 /// A byte stream.
-pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {}
-impl<S: AsyncRead + AsyncWrite + Unpin + ?Sized> ByteStream for S {}
+pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {
+    /// Ready once the peer has closed its sending side, although nothing is read. Never ready where that is not watched.
+    fn poll_closed(&mut self, _cx: &mut Context<'_>) -> Poll<()> {
+        Poll::Pending
+    }
+}
+
+impl ByteStream for awc::BoxedSocket {}
 
 /// One side of a long-lived connection.
 pub struct WebSocketStream {
@@ -108,6 +114,11 @@
         }
     }
 
+    /// Ready once the peer has closed a connection that is not read from now.
+    pub fn poll_closed(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        self.io.poll_closed(cx)
+    }
+
     /// The payload length in the header of the frame that is being read, or 0 until it has come. Guards against
     /// buffering a frame that is refused in the end.
     fn announced_length(&self) -> u64 {
--- a/router/tests/websocket.rs
+++ b/router/tests/websocket.rs
@@ -894,3 +894,55 @@
         }
     }
 }
+
+/// Time after a client's close in which an attempt for it may still begin: 0.1 s, and 50 ms as for every time limit.
+const CLOSE_NOTICED_WITHIN: Duration = Duration::from_millis(150);
+
+/// How many connections reached a server after this time.
+fn arrivals_after(server: &Server, time: Instant) -> usize {
+    server.arrivals.lock().unwrap().iter().filter(|at| **at > time).count()
+}
+
+/// Clients that leave while their upgrades wait for a server's turn: none of them is sent to a server any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_upgrade_begins_for_clients_that_left_in_the_queue() {
+    let server = Server::start("w1").await;
+    let file = settings(&[("new_per_s = 80", "new_per_s = 20")]);
+    let router = start(&[&server], "127.0.0.1:9".parse().unwrap(), &file);
+    let mut clients = Vec::new();
+    for _ in 0..20 {
+        let mut client = TcpStream::connect(router.clients).await.unwrap();
+        client.write_all(UPGRADE.as_bytes()).await.unwrap();
+        clients.push(client);
+    }
+    // One has sent more behind its upgrade, so that its close is behind unread bytes.
+    clients[19].write_all(&masked(0x81, b"early")).await.unwrap();
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    drop(clients);
+    let closed_at = Instant::now();
+    tokio::time::sleep(Duration::from_millis(800)).await;
+    assert_eq!(arrivals_after(&server, closed_at + CLOSE_NOTICED_WITHIN), 0);
+    assert!(router.metric("websocket_refused{reason=\"client-left\"}") >= 10);
+    assert_eq!(router.metric("websocket_asking"), 0);
+}
+
+/// A client that leaves while its connection has no server, since that one broke: no other server is asked for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_upgrade_begins_for_client_that_left_after_its_server_broke() {
+    let (broken, successor) = (Server::start("w1").await, Server::start("w2").await);
+    let mut discovery = Discovery::start().await;
+    let router = start(&[&broken], discovery.address, &settings(&[]));
+    let (client, head) = connect_raw(&router, UPGRADE).await;
+    assert!(head.starts_with("HTTP/1.1 101"), "{head}");
+    broken.mode.send_replace(Mode::Kill);
+    router.wait_until("it waits", |router| router.metric("websocket_waiting") == 1).await;
+    drop(client);
+    let closed_at = Instant::now();
+    tokio::time::sleep(CLOSE_NOTICED_WITHIN).await;
+    discovery.send(&[successor.entry("active", 0)]);
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let late = closed_at + CLOSE_NOTICED_WITHIN;
+    assert_eq!((arrivals_after(&broken, late), arrivals_after(&successor, late)), (0, 0));
+    assert_eq!(router.metric("websocket_waiting"), 0);
+    assert_eq!(router.metric("websocket_ended{reason=\"client-left\"}"), 1);
+}
