A watch of etcd goes on behind the last change that came, not the header's revision

Writers that drain went on getting work, and their successors were not known.

Cause: the header of an answer names the store's revision, not that of the last change in the answer; the next watch began behind it.

Change: the revision is the highest `mod_revision` of the changes that came.

--- a/router/src/list/etcd.rs
+++ b/router/src/list/etcd.rs
@@ -10,7 +10,8 @@
 use crate::log;
 use base64::prelude::{BASE64_STANDARD, Engine as _};
 use fawnstream_fleet::discovery_calls::WATCH_TIMEOUT;
-use serde::Deserialize;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use serde_json::{Value, json};
 use shedrelay::ServerState;
 use std::collections::BTreeMap;
@@ -32,9 +33,17 @@
 /// Largest answer to a range request, in bytes.
 const MAX_RANGE_SIZE: usize = 8 * 1024 * 1024;
 
+/// Parses a revision, which the gateway writes as text.
+fn revision<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    String::deserialize(deserializer)?.parse().map_err(D::Error::custom)
+}
+
 #[derive(Deserialize)]
 struct Header {
-    revision: String,
+    /// The store's revision when the answer was made. An answer with events may be one of several that are still
+    /// under way, so it does not tell up to which revision the events have come.
+    #[serde(deserialize_with = "revision")]
+    revision: u64,
 }
 
 #[derive(Default, Deserialize)]
@@ -42,6 +51,9 @@
 struct Kv {
     key: String,
     value: String,
+    /// The revision of the key's last change; for an event that of the change itself.
+    #[serde(deserialize_with = "revision")]
+    mod_revision: u64,
 }
 
 #[derive(Deserialize)]
@@ -58,7 +70,6 @@
 
 #[derive(Deserialize)]
 struct WatchResult {
-    header: Header,
     #[serde(default)]
     canceled: bool,
     #[serde(default)]
@@ -149,8 +160,7 @@
                 Ok(Err(reason)) => return reason,
                 Err(_) => return "silent",
             };
-            let Ok(revision) = range.header.revision.parse() else { return "bad-list" };
-            self.revision = revision;
+            self.revision = range.header.revision;
             self.entries.clear();
             range.kvs.into_iter().for_each(|kv| drop(self.put(kv)));
             let last_synced = self.last_synced.replace(Instant::now());
@@ -189,13 +199,8 @@
     /// for it again. A watch that etcd cancels, for instance because its revision was compacted, begins again from
     /// the whole list.
     fn apply_line(&mut self, line: &[u8], on_update: &mut impl FnMut(Update)) -> Result<(), &'static str> {
-        let parsed = serde_json::from_slice::<WatchLine>(line).map_err(|error| error.to_string());
-        let parsed = parsed.and_then(|line| {
-            let revision = line.result.header.revision.parse::<u64>().map_err(|error| error.to_string())?;
-            Ok((revision, line.result))
-        });
-        let (revision, result) = match parsed {
-            Ok(parsed) => parsed,
+        let result = match serde_json::from_slice::<WatchLine>(line) {
+            Ok(line) => line.result,
             Err(error) => {
                 log!("list dropped reason=bad-line error=\"{error}\"");
                 return Err("bad-list");
@@ -205,12 +210,14 @@
             self.revision = 0;
             return Err("canceled");
         }
+        // All events of a revision come in one answer, in the order of their revisions.
+        let last_event = result.events.iter().map(|event| event.kv.mod_revision).max();
         let mut entries = Vec::new();
         for event in result.events {
             entries.extend(if event.kind == "DELETE" { self.delete(&event.kv) } else { self.put(event.kv) });
         }
+        self.revision = self.revision.max(last_event.unwrap_or_default());
         if !entries.is_empty() {
-            self.revision = revision;
             let last_synced = self.last_synced.replace(Instant::now());
             on_update(Update { complete: false, entries, last_synced });
         }
