The recorder joins retries by tenant and ask, not by ask alone

Cause: the router's hash of a request does not name the tenant, and the recorder joined by the hash alone.

Change: RequestKey in the recorder. The stored hash stays, so that tries on both sides of an upgrade are still joined.

--- a/ledger/src/recorder.rs
+++ b/ledger/src/recorder.rs
@@ -19,17 +19,23 @@
     pub period_ms: u64,
     /// The time between the end of a period and its close.
     pub grace_ms: u64,
-    /// A request that repeats an earlier one (same `ask`) within this time is a retry of it.
+    /// A request that repeats an earlier one (same tenant and `ask`) within this time is a retry of it.
     pub join_ms: u64,
     /// Each tenant's quota at this router, in requests per second.
     pub quotas: BTreeMap<String, f64>,
 }
 
+/// What a request and its retries have in common. Two tenants may ask for the same, and neither pays for the other.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct RequestKey {
+    tenant: String,
+    ask: u64,
+}
+
 /// A request that has begun and not ended. A retry takes its period and quota decision from the first request.
 #[derive(Clone, Debug, PartialEq)]
 pub struct OpenRequest {
-    ask: u64,
-    tenant: String,
+    key: RequestKey,
     came_ms: u64,
     /// When the first request arrived, in milliseconds of Unix time.
     first_ms: u64,
@@ -64,7 +70,7 @@
     pub declared_prompt_tokens: i64,
 }
 
-/// The first request with an `ask`, kept to recognise its retries.
+/// The first request with a key, kept to recognise its retries.
 struct RecentRequest {
     came_ms: u64,
     beyond: bool,
@@ -79,10 +85,9 @@
     periods: Periods,
     next_number: u64,
     entries_since_close: u64,
-    /// By `ask`.
-    recent: HashMap<u64, RecentRequest>,
-    /// The `ask` and arrival number of each recent request, oldest first.
-    arrival_order: VecDeque<(u64, u64)>,
+    recent: HashMap<RequestKey, RecentRequest>,
+    /// The key and arrival number of each recent request, oldest first.
+    arrival_order: VecDeque<(RequestKey, u64)>,
     /// The last arrival number.
     arrivals: u64,
     /// By tenant: the level of its token bucket, and when it was updated in milliseconds of Unix time.
@@ -149,38 +154,31 @@
         self.periods.first_open_period()
     }
 
-    /// A request arrives. `ask` is the same for a request and its retries.
+    /// A request arrives. `tenant` and `ask` are the same for a request and its retries.
     pub fn begin(&mut self, ask: u64, tenant: &str, now_ms: u64) -> OpenRequest {
         self.expire_recent(now_ms);
         self.arrivals += 1;
         let arrival = self.arrivals;
+        let key = RequestKey { tenant: tenant.to_owned(), ask };
         let first =
-            self.recent.get(&ask).filter(|first| now_ms.saturating_sub(first.came_ms) <= self.config.join_ms);
+            self.recent.get(&key).filter(|first| now_ms.saturating_sub(first.came_ms) <= self.config.join_ms);
         let (first_ms, beyond, first_arrival) = match first {
             Some(first) => (first.came_ms, first.beyond, first.arrival),
             None => {
                 let beyond = self.exceeds_quota(tenant, now_ms);
-                self.recent
-                    .insert(ask, RecentRequest { came_ms: now_ms, beyond, arrival, first_entry: None });
-                self.arrival_order.push_back((ask, arrival));
+                let request = RecentRequest { came_ms: now_ms, beyond, arrival, first_entry: None };
+                self.recent.insert(key.clone(), request);
+                self.arrival_order.push_back((key.clone(), arrival));
                 (now_ms, beyond, arrival)
             }
         };
-        OpenRequest {
-            ask,
-            tenant: tenant.to_owned(),
-            came_ms: now_ms,
-            first_ms,
-            beyond,
-            arrival,
-            first_arrival,
-        }
+        OpenRequest { key, came_ms: now_ms, first_ms, beyond, arrival, first_arrival }
     }
 
     /// A request ends; returns its entry.
     pub fn end(&mut self, open: OpenRequest, usage: RequestUsage, now_ms: u64) -> Record {
         let open_period = self.periods.open_period_for(open.first_ms);
-        let first = self.recent.get_mut(&open.ask).filter(|first| first.arrival == open.first_arrival);
+        let first = self.recent.get_mut(&open.key).filter(|first| first.arrival == open.first_arrival);
         let number = self.next_number;
         let first_entry = first.map(|first| *first.first_entry.get_or_insert(number));
         let repeat_of = first_entry.filter(|first| *first != number && open.arrival != open.first_arrival);
@@ -198,9 +196,9 @@
                 number,
                 period: open_period.period(),
                 late_from: open_period.late_from(),
-                ask: open.ask,
+                ask: open.key.ask,
                 label: usage.label,
-                tenant: open.tenant,
+                tenant: open.key.tenant,
                 class: usage.class,
                 outcome: usage.outcome,
                 beyond: open.beyond,
@@ -259,17 +257,18 @@
 
     /// Forgets requests that are too old to have retries, and the oldest where there are too many.
     fn expire_recent(&mut self, now_ms: u64) {
-        while let Some((ask, arrival)) = self.arrival_order.front().copied() {
-            let first = self.recent.get(&ask).filter(|first| first.arrival == arrival);
+        while let Some((key, arrival)) = self.arrival_order.front() {
+            let first = self.recent.get(key).filter(|first| first.arrival == *arrival);
             let expired =
                 first.is_none_or(|first| now_ms.saturating_sub(first.came_ms) > self.config.join_ms);
             if !expired && self.arrival_order.len() < MAX_RECENT_REQUESTS {
                 return;
             }
-            if first.is_some() {
-                self.recent.remove(&ask);
+            let is_current = first.is_some();
+            let Some((key, _)) = self.arrival_order.pop_front() else { return };
+            if is_current {
+                self.recent.remove(&key);
             }
-            self.arrival_order.pop_front();
         }
     }
 
--- a/ledger/tests/ledger.rs
+++ b/ledger/tests/ledger.rs
@@ -381,3 +381,19 @@
         assert_eq!((code, out.as_str(), error.lines().count()), (Some(1), "", 1), "{error}");
     }
 }
+
+/// Two tenants ask the same thing within the join time: neither request is a retry of the other, nor is the second one
+/// beyond its tenant's share because the first one was beyond its own.
+#[test]
+fn same_request_of_two_tenants_is_no_retry() {
+    let mut recorder = Recorder::new(config("r"), 0);
+    let mut request = |ask: u64, tenant: &str| {
+        let open = recorder.begin(ask, tenant, 10);
+        recorder.end(open, usage(Outcome::Served, 1), 20)
+    };
+    // Tenant `a` may ask for two at once.
+    let records = [request(1, "a"), request(2, "a"), request(7, "a"), request(7, "b"), request(7, "a")];
+    let seen: Vec<(bool, Option<u64>)> =
+        records.iter().filter_map(entry).map(|entry| (entry.beyond, entry.repeat_of)).collect();
+    assert_eq!(seen, [(false, None), (false, None), (true, None), (false, None), (true, Some(3))]);
+}
