Shortly before SIGKILL may come, the log counts what has no entry in the ledger

Cause: a killed process can't write an entry for what is open, nor count it at its end. Streams that no process takes over stay until SIGKILL.

Change: 0.5 s after the start of the hand-over, 0.2 s before the platform's earliest SIGKILL, `ledger lacks what SIGKILL would end now open=N waiting=M`.

Measured: process_that_may_be_killed_counts_what_has_no_entry passes; it asks for a line that did not exist before.

--- a/router/src/program.rs
+++ b/router/src/program.rs
@@ -27,6 +27,8 @@
 /// Longest time from SIGTERM to the hand-over of open streams. SIGKILL follows SIGTERM after the longest time that a
 /// client waits, counted as this much where it is longer, plus 0.7 s in which streams are handed over.
 const MAX_HANDOVER_DELAY: Duration = Duration::from_secs(3);
+/// Time from the start of the hand-over to the log's count of what SIGKILL would cost the ledger.
+const KILL_NOTICE_DELAY: Duration = Duration::from_millis(500);
 /// Grace for releasing a lease beyond the time in the settings, since releases over sockets take time.
 const RELEASE_GRACE: Duration = Duration::from_millis(300);
 
@@ -198,7 +200,7 @@
 
     log!("stopping requests={} connections={}", core.open_requests(), shared.open_connections());
     shared.lifecycle.apply(Event::Stop);
-    begin_handover_later(handover, config.connections);
+    prepare_for_kill(handover, usage.clone(), config.connections);
     let shutdown = Shutdown {
         core: core.clone(),
         shared: shared.clone(),
@@ -293,12 +295,16 @@
     }
 }
 
-/// Begins the hand-over of streams shortly before SIGKILL may come.
-fn begin_handover_later(handover: Rc<Handover>, settings: ConnectionSettings) {
+/// Prepares for SIGKILL shortly before it may come: begins the hand-over of streams, and then logs what the ledger lacks.
+fn prepare_for_kill(handover: Rc<Handover>, usage: Option<Rc<UsageLedger>>, settings: ConnectionSettings) {
     let longest_wait = settings.longest_wait.map(|wait| Duration::from_nanos(wait.0));
     let delay = longest_wait.map_or(MAX_HANDOVER_DELAY, |wait| wait.min(MAX_HANDOVER_DELAY));
     actix_rt::spawn(async move {
         actix_rt::time::sleep(delay).await;
         handover.begin();
+        actix_rt::time::sleep(KILL_NOTICE_DELAY).await;
+        if let Some(usage) = usage {
+            usage.log_unwritten();
+        }
     });
 }
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -214,6 +214,15 @@
         }
     }
 
+    /// Logs how many requests would have no entry if the process were killed now, if there are any.
+    pub fn log_unwritten(&self) {
+        let open = self.open.borrow().len();
+        let waiting = self.status.waiting.load(Ordering::Relaxed);
+        if open > 0 || waiting > 0 {
+            tracing::warn!(open, waiting, "ledger lacks what SIGKILL would end now");
+        }
+    }
+
     /// Writes what is left to the disk and ends the thread, within a bounded time. Counts and logs the requests that
     /// have no entry then. Entries not yet exported wait for the next start.
     pub async fn stop(&self) {
--- a/router/tests/one_entry_per_request.rs
+++ b/router/tests/one_entry_per_request.rs
@@ -418,3 +418,29 @@
     receiver.read_exact(&mut letter).unwrap();
     assert_eq!(&letter, b"r");
 }
+
+/// A stream that nobody takes over stays with a process that may be killed. A killed process can't write its entry, so
+/// the log counts it before.
+#[test]
+fn process_that_may_be_killed_counts_what_has_no_entry() {
+    const STREAMS: u64 = 3;
+    let folder = tempfile::tempdir().unwrap();
+    let (config, usage) = write_ledger_config(folder.path());
+    let arguments = ["--ledger", config.to_str().unwrap()];
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let shared = folder.path().join("t");
+    std::fs::create_dir(&shared).unwrap();
+    let writer = start_endless_writer();
+    let router = start_inheriting(folder.path(), &listener, writer, &shared, &arguments);
+    let streams: Vec<TcpStream> = (1..=STREAMS)
+        .map(|id| send(router.clients, &platform_request(id, &format!("{{\"text\":\"long {id}\"}}")), true))
+        .collect();
+    terminate(&router.child);
+    // Clients of this configuration wait for 0.9 s at most: SIGKILL comes 1.6 s after SIGTERM at the earliest.
+    std::thread::sleep(Duration::from_millis(1_550));
+    let log = router.log.lock().unwrap().clone();
+    let notice = format!("ledger lacks what SIGKILL would end now open={STREAMS} waiting=0");
+    assert!(log.iter().any(|line| line.contains(&notice)), "{log:?}");
+    drop((router, streams));
+    assert_eq!(entries(&usage).len(), 0);
+}
