--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -3,36 +3,41 @@
 
 mod labels;
 mod leases;
+mod list;
+mod outcome;
 mod repeats;
 mod stopping;
+mod transfer;
 
 use crate::exchange::{ClientEnd, Exchange, Opening};
-use crate::handover::BillingDetails;
-use crate::list::{Entry, Update};
 use crate::log;
 use crate::names;
 use crate::servers::ConnectionInfo;
-use crate::usage::{self, UsageLedger};
+use crate::usage::UsageLedger;
 use fawnstream_attempts::delivery::Delivery;
 use fawnstream_attempts::invariants::{Invariant, Violations};
 use fawnstream_attempts::{Attempts, RepeatPolicy};
-use fawnstream_fleet::start_times::{Clocks, StartTimes};
+use fawnstream_fleet::start_times::StartTimes;
 use fawnstream_leases::{AttemptEnd, LeaseConfig, Leases, Permission, ReleaseOutcome};
 use fawnstream_ledger::entry::Tokens;
-use fawnstream_ledger::recorder::RequestUsage;
 use labels::LabelCounts;
 use leases::Releases;
+use list::OnListUpdate;
+pub use list::ServerUpdate;
+pub use outcome::{FinalOutcome, NotSubmitted, OutcomeCounts};
+use outcome::{log_millis, server_label};
 use prometheus::{Histogram, HistogramOpts};
 pub use repeats::{RepeatCounts, RepeatLimits};
 use shedrelay::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
+use transfer::Origin;
 
 /// An answer is due this long before the client gives up: it still has to reach the client, whose clock started when
 /// it sent the request.
@@ -165,30 +170,6 @@
     }
 }
 
-/// Ended requests of one class, by outcome.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct OutcomeCounts {
-    /// Answered completely.
-    pub served: u64,
-    /// Refused: a retry is harmless.
-    pub refused: u64,
-    /// Failed, answered incompletely or unusable.
-    pub failed: u64,
-    /// The client left before the end.
-    pub left: u64,
-}
-
-/// How a request ended that was never submitted to the decision module.
-#[derive(Clone, Copy, Debug)]
-pub enum NotSubmitted {
-    /// Refused for lack of capacity.
-    Refused,
-    /// Invalid or incomplete.
-    Failed,
-    /// The client left.
-    Left,
-}
-
 /// A request that has been submitted and has not ended.
 struct OpenRequest {
     exchange: Rc<Exchange>,
@@ -224,29 +205,32 @@
     origin: Origin,
 }
 
-/// Where a request came from.
-enum Origin {
-    /// From a client.
-    Client,
-    /// From another process, with what it is billed by if that process kept a ledger.
-    OtherProcess(Option<BillingDetails>),
-}
-
-/// An update of a server in the list, for the owner of long-lived connections.
-pub struct ServerUpdate {
-    /// The server.
-    pub server: ServerId,
-    /// Its kind; none if the list has dropped it.
-    pub kind: Option<KindId>,
-    /// Its state in the list.
-    pub state: ServerState,
-    /// Unix time of its last start; none if that was long ago.
-    pub up_since: Option<Time>,
+impl OpenRequest {
+    /// A request without attempts and without an answer.
+    fn new(exchange: Rc<Exchange>, deadline: Instant, origin: Origin) -> Self {
+        OpenRequest {
+            exchange,
+            _overdue_timer: None,
+            deadline,
+            attempts: 0,
+            history: Attempts::default(),
+            current: None,
+            released_during_attempt: false,
+            release_done: None,
+            sent_after: None,
+            read_after: None,
+            kept: None,
+            first_event_after: None,
+            route: [None, None],
+            answer_began: false,
+            settled: false,
+            client_left: false,
+            outcome_recorded: Cell::new(false),
+            origin,
+        }
+    }
 }
 
-/// Called with updates of the server list.
-type OnListUpdate = Rc<dyn Fn(&[ServerUpdate])>;
-
 /// Writes the rest of an answer to a detached client connection.
 type ServeDetached = Rc<dyn Fn(ClientEnd, TcpStream)>;
 
@@ -377,18 +361,6 @@
         tenant.and_then(|tenant| self.names.tenants.get(tenant.0)).map_or("", |name| name)
     }
 
-    /// What a request is billed by, if a ledger is kept. For a stream from another process these are that process's
-    /// details: its call is not known here.
-    pub fn billing_details(&self, request: RequestId) -> Option<BillingDetails> {
-        let requests = self.requests.borrow();
-        let open = requests.get(&request)?;
-        let call = &open.exchange.call;
-        match &open.origin {
-            Origin::Client => Some(self.usage.as_ref()?.billing_details(call, self.tenant_name(call.tenant))),
-            Origin::OtherProcess(details) => details.clone(),
-        }
-    }
-
     /// The usage ledger, if one is kept.
     pub fn usage(&self) -> Option<&UsageLedger> {
         self.usage.as_deref()
@@ -429,11 +401,6 @@
 
     // Metrics.
 
-    /// Ended requests by class, in the order of the settings.
-    pub fn outcome_counts(&self) -> Vec<OutcomeCounts> {
-        self.outcome_counts.borrow().clone()
-    }
-
     /// Attempts written completely, as counted by their connections.
     pub fn dispatches(&self) -> u64 {
         self.dispatches.get()
@@ -461,128 +428,6 @@
         (self.list.borrow().len(), self.decision_module.borrow().excluded_servers(self.now()))
     }
 
-    /// Counts a request that ended before it was submitted. An unknown class is not counted.
-    pub fn count_not_submitted(&self, class: Option<ClassId>, end: NotSubmitted) {
-        let mut counts = self.outcome_counts.borrow_mut();
-        let Some(counts) = class.and_then(|class| counts.get_mut(class.0)) else { return };
-        match end {
-            NotSubmitted::Refused => counts.refused += 1,
-            NotSubmitted::Failed => counts.failed += 1,
-            NotSubmitted::Left => counts.left += 1,
-        }
-    }
-
-    // The server list.
-
-    /// Applies an update of the server list.
-    pub fn apply_list(&self, update: Update) {
-        let mut members = Vec::new();
-        // Servers that a complete list no longer has.
-        let mut dropped = Vec::new();
-        {
-            let mut list = self.list.borrow_mut();
-            let now = Instant::now();
-            if update.complete {
-                // A set, so that a complete list is applied in linear time with 1,024 servers too.
-                let listed: HashSet<ServerId> = update.entries.iter().map(|e| server_id(&e.id)).collect();
-                for (id, server) in list.iter().filter(|(id, _)| !listed.contains(id)) {
-                    mark_draining(server, now);
-                    dropped.push(*id);
-                    self.start_times.borrow_mut().dropped(id.0, self.clock_time());
-                }
-                list.retain(|id, _| listed.contains(id));
-            }
-            for entry in &update.entries {
-                let Some(member) = self.list_member(entry, update.last_synced) else { continue };
-                let role = self.roles[member.kind.0];
-                let same = |known: &&Rc<Server>| known.address == entry.address && known.role == role;
-                let known = list.get(&member.server).filter(same);
-                let server = known.cloned().unwrap_or_else(|| {
-                    if member.up_since.is_some() {
-                        let name = if role == Role::Reader { "reader" } else { "writer" };
-                        log!("list new server={} role={name} up_since_ms={}", entry.id, entry.up_since_ms);
-                    }
-                    let announced_at = (!update.complete).then_some(now);
-                    Server::new(entry.id.clone(), entry.address, role, announced_at)
-                });
-                if member.state == ServerState::Active {
-                    server.draining_since.set(None);
-                } else {
-                    mark_draining(&server, now);
-                }
-                if let Some(old) = list.insert(member.server, server.clone())
-                    && !Rc::ptr_eq(&old, &server)
-                {
-                    mark_draining(&old, now);
-                }
-                // Otherwise the list would grow with every server that ever joined.
-                if member.state == ServerState::Removed {
-                    list.remove(&member.server);
-                    self.start_times.borrow_mut().dropped(member.server.0, self.clock_time());
-                }
-                members.push(member);
-            }
-        }
-        self.start_times.borrow_mut().sweep(self.clock_time());
-        let on_list_update = self.on_list_update.borrow().clone();
-        let updates = on_list_update.is_some().then(|| {
-            let dropped = dropped.iter().map(|id| ServerUpdate {
-                server: *id,
-                kind: None,
-                state: ServerState::Removed,
-                up_since: None,
-            });
-            let listed = members.iter().map(|member| ServerUpdate {
-                server: member.server,
-                kind: Some(member.kind),
-                state: member.state,
-                up_since: member.up_since,
-            });
-            dropped.chain(listed).collect::<Vec<ServerUpdate>>()
-        });
-        self.handle(Event::Members(match update.complete {
-            true => Members::Full(members),
-            false => Members::Changes(members),
-        }));
-        if let (Some(callback), Some(updates)) = (on_list_update, updates) {
-            callback(&updates);
-        }
-    }
-
-    /// When a server started, on the decision module's clock; none if that was long ago.
-    fn start_time(&self, entry: &Entry, current: Option<Instant>) -> Option<Time> {
-        if entry.up_since_ms == 0 {
-            return None;
-        }
-        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let clocks = Clocks { monotonic: self.clock_time(), wall };
-        let current = current.map(|at| self.clock_time_at(at));
-        let stamp = Duration::from_millis(entry.up_since_ms);
-        let start = self.start_times.borrow_mut().listed(server_id(&entry.id).0, stamp, clocks, current);
-        Some(Time(start.as_nanos() as u64))
-    }
-
-    /// The decision module's clock at an instant.
-    fn clock_time_at(&self, at: Instant) -> Duration {
-        Duration::from_nanos(self.unix_start_ns) + at.saturating_duration_since(self.started_at)
-    }
-
-    fn list_member(&self, entry: &Entry, current: Option<Instant>) -> Option<Member> {
-        let Some(kind) = self.names.kinds.iter().position(|kind| *kind == entry.kind) else {
-            log!("list dropped server={:?} reason=unknown-kind", entry.id);
-            return None;
-        };
-        let zone = self.names.zones.iter().position(|zone| *zone == entry.zone).unwrap_or(usize::MAX);
-        Some(Member {
-            server: server_id(&entry.id),
-            state: entry.state,
-            kind: KindId(kind),
-            zone: ZoneId(zone),
-            cell: CellId(entry.cell),
-            up_since: self.start_time(entry, current),
-        })
-    }
-
     // Requests.
 
     /// Submits a request. None if one with its id is still open.
@@ -621,24 +466,8 @@
             }
         }));
         let open = OpenRequest {
-            exchange: exchange.clone(),
             _overdue_timer: Some(overdue_timer),
-            deadline,
-            attempts: 0,
-            history: Attempts::default(),
-            current: None,
-            released_during_attempt: false,
-            release_done: None,
-            sent_after: None,
-            read_after: None,
-            kept: None,
-            first_event_after: None,
-            route: [None, None],
-            answer_began: false,
-            settled: false,
-            client_left: false,
-            outcome_recorded: Cell::new(false),
-            origin: Origin::Client,
+            ..OpenRequest::new(exchange.clone(), deadline, Origin::Client)
         };
         if let Some(usage) = &self.usage {
             usage.request_started(id, &exchange.call, self.tenant_name(exchange.call.tenant));
@@ -652,7 +481,7 @@
         match self.requests.borrow_mut().get_mut(&id) {
             Some(open) if !open.client_left && !open.settled => {
                 (open.client_left, open.settled) = (true, true);
-                self.record_outcome(id, open, "client-left", None);
+                self.record_outcome(id, open, FinalOutcome::ClientLeft, None);
             }
             Some(open) if !open.client_left && open.answer_began => {
                 open.client_left = true;
@@ -667,94 +496,6 @@
         self.remove_if_finished(id);
     }
 
-    /// Continues a stream that another process began. It is an open request here until it ends, and counts like any
-    /// other, also where its id is in use; the decision module is not involved, since it has not sent it.
-    pub fn take_over(
-        &self,
-        exchange: Rc<Exchange>,
-        label: &str,
-        address: SocketAddr,
-        bill: Option<BillingDetails>,
-    ) -> (AttemptOrder, ClientEnd) {
-        let request = RequestId(self.last_request_id.get() + 1);
-        self.last_request_id.set(request.0);
-        let known = self.list.borrow().values().find(|server| server.label == label).cloned();
-        let server = known
-            .filter(|server| server.address == address)
-            .unwrap_or_else(|| Server::new(label.to_owned(), address, Role::Writer, None));
-        self.labels.add(&exchange.call.label);
-        let (cancel, stop) = oneshot::channel();
-        let now = Instant::now();
-        let open = OpenRequest {
-            exchange: exchange.clone(),
-            _overdue_timer: None,
-            deadline: now,
-            attempts: 1,
-            history: Attempts::default(),
-            current: Some((server.clone(), Some(cancel))),
-            released_during_attempt: false,
-            release_done: None,
-            sent_after: None,
-            read_after: None,
-            kept: None,
-            first_event_after: None,
-            route: [None, None],
-            answer_began: true,
-            settled: true,
-            client_left: false,
-            outcome_recorded: Cell::new(false),
-            origin: Origin::OtherProcess(bill.clone()),
-        };
-        match (&self.usage, bill) {
-            (Some(usage), bill) => usage.request_received(request, bill),
-            (None, Some(_)) => {
-                log!("ledger off id={} reason=billed-request-taken-over", exchange.call.label);
-            }
-            (None, None) => {}
-        }
-        self.requests.borrow_mut().insert(request, open);
-        let end = self.reattach_client(request, &exchange);
-        let attempt = Attempt(0);
-        let order = AttemptOrder {
-            exchange,
-            request,
-            attempt,
-            server,
-            answer_by: now,
-            deadline: now,
-            write_by: None,
-            repeat: None,
-            release_done: None,
-            stop,
-        };
-        (order, end)
-    }
-
-    /// A new client's end for a stream whose client connection was detached.
-    pub fn reattach_client(&self, request: RequestId, exchange: &Rc<Exchange>) -> ClientEnd {
-        let weak = self.weak_self.clone();
-        ClientEnd::reattach(exchange.clone(), move || {
-            if let Some(core) = weak.upgrade() {
-                core.client_left(request);
-            }
-        })
-    }
-
-    /// A stream was handed over to another process, which counts its request.
-    pub fn handed_over(&self, request: RequestId, attempt: Attempt) {
-        let Some(open) = self.requests.borrow_mut().remove(&request) else { return };
-        self.labels.remove(&open.exchange.call.label);
-        log!("request id={} outcome=handed-over", open.exchange.call.label);
-        if let Some(usage) = &self.usage {
-            usage.request_handed_over(request);
-        }
-        let (verdict, settled) = (Verdict::Ok, true);
-        let evidence = Evidence::Server;
-        let outcome =
-            Outcome { request, attempt, verdict, evidence, settled, cached_tokens: None, report: None };
-        self.handle(Event::Outcome(outcome));
-    }
-
     /// Fails a request that the decision module has left unanswered past its deadline, so the client gets an answer.
     fn fail_overdue(&self, id: RequestId) {
         let unanswered = self.requests.borrow().get(&id).is_some_and(|open| !open.settled);
@@ -847,9 +588,9 @@
             });
             if open.answer_began && !open.outcome_recorded.get() {
                 let outcome = match (open.client_left, verdict) {
-                    (_, Verdict::Ok) => "served",
-                    (true, _) => "client-left",
-                    (false, _) => "broken",
+                    (_, Verdict::Ok) => FinalOutcome::Served,
+                    (true, _) => FinalOutcome::ClientLeft,
+                    (false, _) => FinalOutcome::Broken,
                 };
                 self.record_outcome(request, open, outcome, result.used);
                 if open.client_left {
@@ -888,9 +629,9 @@
             }
             open.exchange.begin_answer(opening);
             let outcome = match opening {
-                Opening::Failed => "failed",
-                Opening::Unusable => "unusable",
-                _ => "refused",
+                Opening::Failed => FinalOutcome::Failed,
+                Opening::Unusable => FinalOutcome::Unusable,
+                _ => FinalOutcome::Refused,
             };
             self.record_outcome(id, open, outcome, None);
         }
@@ -913,52 +654,6 @@
         self.repeat_policies.get(class.0).copied().unwrap_or(RepeatPolicy::Never)
     }
 
-    /// Counts and logs a request's final outcome. The only place that does.
-    fn record_outcome(&self, id: RequestId, open: &OpenRequest, outcome: &str, tokens: Option<Tokens>) {
-        let call = &open.exchange.call;
-        if open.outcome_recorded.replace(true) {
-            return self.record_violation(
-                Invariant::OneFinalAnswer,
-                &format!("id={} outcome={outcome}", call.label),
-            );
-        }
-        if let Some(usage) = &self.usage {
-            let used = RequestUsage {
-                label: call.label.clone(),
-                class: self.class_name(call.class).to_owned(),
-                outcome: usage::outcome(outcome),
-                answer_began: open.answer_began,
-                reported_tokens: tokens,
-                declared_prompt_tokens: call.prompt_len as i64,
-            };
-            usage.request_ended(id, used);
-        }
-        if let Some(counts) = self.outcome_counts.borrow_mut().get_mut(call.class.0) {
-            match outcome {
-                "served" => counts.served += 1,
-                "refused" => counts.refused += 1,
-                "client-left" => counts.left += 1,
-                _ => counts.failed += 1,
-            }
-        }
-        log!(
-            "request id={} class={} outcome={} attempts={} first_ms={} sent_ms={} read_ms={} ms={} prompt={} kept={} out={} reader={} writer={}",
-            call.label,
-            self.class_name(call.class),
-            outcome,
-            open.attempts,
-            log_millis(open.first_event_after),
-            log_millis(open.sent_after),
-            log_millis(open.read_after),
-            call.arrived.elapsed().as_millis(),
-            call.prompt_len,
-            open.kept.map_or_else(|| "-".to_owned(), |kept| kept.to_string()),
-            tokens.map_or_else(|| "-".to_owned(), |used| used.written.to_string()),
-            server_label(&open.route[0]),
-            server_label(&open.route[1])
-        );
-    }
-
     /// Removes a request that has its final answer and no attempt in flight. Its leases are then released.
     fn remove_if_finished(&self, id: RequestId) {
         {
@@ -1145,24 +840,6 @@
     Histogram::with_opts(options.buckets(buckets)).ok()
 }
 
-/// Milliseconds for the log, `-` for none.
-fn log_millis(time: Option<Duration>) -> String {
-    time.map_or_else(|| "-".to_owned(), |time| time.as_millis().to_string())
-}
-
-/// A server's label for the log, `-` for none.
-fn server_label(server: &Option<Rc<Server>>) -> &str {
-    server.as_ref().map_or("-", |server| &server.label)
-}
-
-/// Notes and logs that a server drains, unless that is known already.
-fn mark_draining(server: &Server, now: Instant) {
-    if server.draining_since.get().is_none() {
-        server.draining_since.set(Some(now));
-        log!("list drains server={}", server.label);
-    }
-}
-
 /// What the end of an attempt means for its leases.
 fn attempt_end(result: &AttemptResult) -> AttemptEnd {
     match (result.delivery, result.evidence) {
--- a/router/src/core/stopping.rs
+++ b/router/src/core/stopping.rs
@@ -1,7 +1,7 @@
 //! Ending all requests when the process stops. Afterwards each request has its final outcome, also one whose attempt
 //! does not end.
 
-use super::{Core, OpenRequest};
+use super::{Core, FinalOutcome, OpenRequest};
 use crate::exchange::Opening;
 use shedrelay::{Event, RequestId};
 
@@ -29,7 +29,7 @@
     /// handed over any more.
     pub fn record_unfinished(&self) {
         for (id, open) in self.requests.borrow().iter().filter(|(_, open)| !open.outcome_recorded.get()) {
-            let outcome = if open.client_left { "client-left" } else { "broken" };
+            let outcome = if open.client_left { FinalOutcome::ClientLeft } else { FinalOutcome::Broken };
             self.record_outcome(*id, open, outcome, None);
         }
     }
--- a/router/src/usage.rs
+++ b/router/src/usage.rs
@@ -9,7 +9,7 @@
 use crate::config::ledger::Ledger;
 use crate::exchange::Call;
 use crate::handover::BillingDetails;
-use fawnstream_ledger::entry::{Outcome, Tokens};
+use fawnstream_ledger::entry::Tokens;
 use fawnstream_ledger::recorder::{RecorderConfig, RequestUsage};
 use fawnstream_ledger::store::StoreError;
 pub use recording::MAX_UNSYNCED_RECORDS;
@@ -295,17 +295,6 @@
     }
 }
 
-/// Maps an outcome of the core to one of the ledger.
-pub fn outcome(name: &str) -> Outcome {
-    match name {
-        "served" => Outcome::Served,
-        "refused" => Outcome::Refused,
-        "broken" => Outcome::Broken,
-        "client-left" => Outcome::Left,
-        _ => Outcome::Failed,
-    }
-}
-
 /// Parses the token counts of a server's usage event; `None` if they are missing or invalid.
 pub fn parse_tokens(usage: &serde_json::Value) -> Option<Tokens> {
     let count = |path: &str| usage.pointer(path)?.as_u64().and_then(|count| i64::try_from(count).ok());
--- a/router/tests/usage_ledger.rs
+++ b/router/tests/usage_ledger.rs
@@ -60,6 +60,14 @@
     ledger.request_ended(RequestId(number), used);
 }
 
+/// Requests that start and end.
+fn serve_requests(ledger: &UsageLedger, numbers: std::ops::Range<u64>) {
+    numbers.for_each(|number| {
+        start_request(ledger, number);
+        end_request(ledger, number);
+    });
+}
+
 /// Stops a ledger; returns how long that took.
 fn stop(ledger: &UsageLedger) -> Duration {
     let started = Instant::now();
@@ -84,10 +92,7 @@
     let folder = tempfile::tempdir().unwrap();
     let other = hold_files(folder.path());
     let ledger = start_waiting(folder.path());
-    (0..5).for_each(|number| {
-        start_request(&ledger, number);
-        end_request(&ledger, number);
-    });
+    serve_requests(&ledger, 0..5);
     // Two that never ended.
     (5..7).for_each(|number| start_request(&ledger, number));
     assert_eq!(count(&ledger.status().waiting), 5);
@@ -107,10 +112,7 @@
     let folder = tempfile::tempdir().unwrap();
     let other = hold_files(folder.path());
     let ledger = start_waiting(folder.path());
-    (0..5).for_each(|number| {
-        start_request(&ledger, number);
-        end_request(&ledger, number);
-    });
+    serve_requests(&ledger, 0..5);
     let release = std::thread::spawn(move || {
         std::thread::sleep(Duration::from_millis(500));
         drop(other);
