fawnstream-losses tells answers that a stop cut off from those that a server broke

Their attempt's reason tells them: `cut-at-stop`.

Measured: stream_that_a_stop_cut_off_has_its_own_cause, and stop_with_a_bad_disk_is_bounded_and_says_what_is_missing asserts the reason in the router's log.

--- a/losses/src/lib.rs
+++ b/losses/src/lib.rs
@@ -32,6 +32,8 @@
     LateByRetries,
     /// Its stream broke, and its server was draining.
     BrokeWithDrainedWriter,
+    /// The router broke its stream off when its stop timeout ended.
+    CutAtStop,
     /// Its stream broke for another reason.
     Broke,
     /// Failed; an attempt may have run.
@@ -48,6 +50,10 @@
     Unusable,
 }
 
+/// The reason of an attempt that the router itself cancelled. A begun answer's is cancelled where its client has left,
+/// which is another outcome, and at the stop.
+const CANCELLED: &str = "cancelled";
+
 /// A class, as logged at the start.
 #[derive(Clone, Copy, Debug)]
 struct Class {
@@ -74,6 +80,7 @@
     server: String,
     reader: bool,
     verdict: String,
+    reason: String,
     /// The log said before that the server was draining.
     server_draining: bool,
 }
@@ -236,6 +243,7 @@
         let attempt = Attempt {
             reader: field(line, "role")? == "reader",
             verdict: field(line, "verdict")?.to_owned(),
+            reason: field(line, "reason").unwrap_or_default().to_owned(),
             server_draining: self.draining.contains(&server),
             server,
         };
@@ -299,12 +307,14 @@
         "refused" if has_verdict("NoState") => Cause::RefusedStateGone,
         "refused" if writer_full => Cause::RefusedWritersFull,
         "refused" => Cause::RefusedAfterReads,
-        "broken" => {
-            // The stream that broke is that of the last attempt.
-            let server_draining =
-                attempts.last().is_some_and(|last| last.server_draining || draining.contains(&last.server));
-            if server_draining { Cause::BrokeWithDrainedWriter } else { Cause::Broke }
-        }
+        // The stream that broke is that of the last attempt.
+        "broken" => match attempts.last() {
+            Some(last) if last.reason == CANCELLED => Cause::CutAtStop,
+            Some(last) if last.server_draining || draining.contains(&last.server) => {
+                Cause::BrokeWithDrainedWriter
+            }
+            _ => Cause::Broke,
+        },
         "client-left" if request.first_ms.is_some() => Cause::LeftMidAnswer,
         "client-left" if request.sent_ms.is_none() => Cause::LeftAtGate,
         "client-left" if request.read_ms.is_none() => Cause::LeftReading,
@@ -378,6 +388,17 @@
         assert_eq!(report(&[&other_drains, request, attempt]).lost.keys().next(), Some(&Cause::Broke));
     }
 
+    /// A stream that the router broke off at its stop says nothing against its server.
+    #[test]
+    fn stream_that_a_stop_cut_off_has_its_own_cause() {
+        let request =
+            "request id=x class=c outcome=broken attempts=2 first_ms=9 sent_ms=0 read_ms=5 ms=9 prompt=1";
+        let attempt = "attempt id=x try=1 server=w1 role=writer verdict=Cancelled reason=cancelled";
+        assert_eq!(report(&[request, attempt]).lost.keys().next(), Some(&Cause::CutAtStop));
+        let slow = attempt.replace("reason=cancelled", "reason=slow-client");
+        assert_eq!(report(&[request, &slow]).lost.keys().next(), Some(&Cause::Broke));
+    }
+
     #[test]
     fn invalid_lines_are_counted_and_skipped() {
         let report = report(&[
--- a/router/tests/one_entry_per_request.rs
+++ b/router/tests/one_entry_per_request.rs
@@ -384,12 +384,12 @@
     assert_eq!(router.child.wait().unwrap().code(), Some(0));
     assert!(stopped_at.elapsed() < Duration::from_secs(6), "{:?}", stopped_at.elapsed());
     std::thread::sleep(Duration::from_millis(50));
+    let log = router.log.lock().unwrap().clone();
     let closed = format!("ledger closed without entries that are due entries={SERVED} lost={UNDER_WAY}");
-    assert!(
-        router.log.lock().unwrap().iter().any(|line| line.contains(&closed)),
-        "{:?}",
-        router.log.lock().unwrap()
-    );
+    assert!(log.iter().any(|line| line.contains(&closed)), "{log:?}");
+    // `fawnstream-losses` knows answers that a stop cut off by this reason.
+    let cancelled = log.iter().filter(|line| line.contains("verdict=Cancelled reason=cancelled"));
+    assert_eq!(cancelled.count() as u64, UNDER_WAY, "{log:?}");
     drop(streams);
 }
 
