The test of a second writer waits for a lock that a starting program still holds

The test takes the lock by LogLock::acquire, which waits, and asks for Mismatch as before; that a second writer is rejected while the first one is there is asked for as before.

--- a/ledger/tests/ledger.rs
+++ b/ledger/tests/ledger.rs
@@ -2,6 +2,7 @@
 
 use fawnstream_ledger::batch::{ExportProgress, MAX_BATCH_ENTRIES, Step};
 use fawnstream_ledger::entry::{Entry, EntryId, Outcome, Record, Tokens};
+use fawnstream_ledger::lock::LogLock;
 use fawnstream_ledger::period::Periods;
 use fawnstream_ledger::reconcile::{Finding, MergedLedgers, Reconciliation};
 use fawnstream_ledger::recorder::{Recorder, RecorderConfig, RequestUsage};
@@ -263,7 +264,9 @@
     let second = LogWriter::<Record>::open(folder.path(), "usage", "r", 700, |_| {});
     assert!(matches!(second.err(), Some(StoreError::Locked { .. })));
     drop(first);
-    let other_owner = LogWriter::<Record>::open(folder.path(), "usage", "s", 700, |_| {});
+    // Another test may be starting a program: until that is running, it has a copy of the lock's descriptor.
+    let lock = LogLock::acquire(folder.path(), "usage").unwrap();
+    let other_owner = LogWriter::<Record>::open_locked(lock, "s", 700, |_| {});
     assert!(matches!(other_owner.err(), Some(StoreError::Mismatch { .. })));
 }
 
