A cancelled attempt says why: not wanted, its client left, or the process ends

Trace: the second one was cancelled by the stop while it passed an event on, and its line said reason=client-left.

Cause: cancelling carried no reason; where a stream waits for a slow client, a cancel was taken for the client's leaving.

Change: CancelReason goes with the cancel. Attempts that the stop ends say reason=stopping, by which fawnstream-losses knows answers that it cut off.

--- a/losses/src/lib.rs
+++ b/losses/src/lib.rs
@@ -50,9 +50,8 @@
     Unusable,
 }
 
-/// The reason of an attempt that the router itself cancelled. A begun answer's is cancelled where its client has left,
-/// which is another outcome, and at the stop.
-const CANCELLED: &str = "cancelled";
+/// The reason of an attempt that the router cancelled at its stop.
+const STOPPING: &str = "stopping";
 
 /// A class, as logged at the start.
 #[derive(Clone, Copy, Debug)]
@@ -309,7 +308,7 @@
         "refused" => Cause::RefusedAfterReads,
         // The stream that broke is that of the last attempt.
         "broken" => match attempts.last() {
-            Some(last) if last.reason == CANCELLED => Cause::CutAtStop,
+            Some(last) if last.reason == STOPPING => Cause::CutAtStop,
             Some(last) if last.server_draining || draining.contains(&last.server) => {
                 Cause::BrokeWithDrainedWriter
             }
@@ -393,9 +392,9 @@
     fn stream_that_a_stop_cut_off_has_its_own_cause() {
         let request =
             "request id=x class=c outcome=broken attempts=2 first_ms=9 sent_ms=0 read_ms=5 ms=9 prompt=1";
-        let attempt = "attempt id=x try=1 server=w1 role=writer verdict=Cancelled reason=cancelled";
+        let attempt = "attempt id=x try=1 server=w1 role=writer verdict=Cancelled reason=stopping";
         assert_eq!(report(&[request, attempt]).lost.keys().next(), Some(&Cause::CutAtStop));
-        let slow = attempt.replace("reason=cancelled", "reason=slow-client");
+        let slow = attempt.replace("reason=stopping", "reason=slow-client");
         assert_eq!(report(&[request, &slow]).lost.keys().next(), Some(&Cause::Broke));
     }
 
--- a/router/src/core.rs
+++ b/router/src/core.rs
@@ -106,7 +106,29 @@
     /// If set, a release is in progress: the attempt must not start before this sends a new `write_by`.
     pub release_done: Option<oneshot::Receiver<Option<Instant>>>,
     /// Cancels the attempt.
-    pub stop: oneshot::Receiver<()>,
+    pub stop: oneshot::Receiver<CancelReason>,
+}
+
+/// Why an attempt is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelReason {
+    /// The decision module does not want it any more.
+    NotWanted,
+    /// Its client has left.
+    ClientLeft,
+    /// The process is about to end.
+    Stopping,
+}
+
+impl CancelReason {
+    /// Its name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            CancelReason::NotWanted => "cancelled",
+            CancelReason::ClientLeft => "client-left",
+            CancelReason::Stopping => "stopping",
+        }
+    }
 }
 
 /// How an attempt ended, as reported by the servers' side.
@@ -179,7 +201,7 @@
     /// What its attempts prove, on the decision module's clock.
     history: Attempts<ServerId>,
     /// The server of the attempt in flight, and how to cancel it; the latter is none once it was cancelled.
-    current: Option<(Rc<Server>, Option<oneshot::Sender<()>>)>,
+    current: Option<(Rc<Server>, Option<oneshot::Sender<CancelReason>>)>,
     /// Its leases were released while an attempt was in flight.
     released_during_attempt: bool,
     /// Starts the attempt that waits for a release.
@@ -487,7 +509,7 @@
                 open.client_left = true;
                 // Cancels the attempt: nobody reads its stream any more.
                 if let Some(cancel) = open.current.as_mut().and_then(|current| current.1.take()) {
-                    let _ = cancel.send(());
+                    let _ = cancel.send(CancelReason::ClientLeft);
                 }
             }
             _ => return,
@@ -695,7 +717,7 @@
                 if let Some(cancel) =
                     open.and_then(|open| open.current.as_mut()).and_then(|current| current.1.take())
                 {
-                    let _ = cancel.send(());
+                    let _ = cancel.send(CancelReason::NotWanted);
                 }
             }
             Action::Refuse { request, backoff } => {
--- a/router/src/core/stopping.rs
+++ b/router/src/core/stopping.rs
@@ -1,7 +1,7 @@
 //! Ending all requests when the process stops. Afterwards each request has its final outcome, also one whose attempt
 //! does not end.
 
-use super::{Core, FinalOutcome, OpenRequest};
+use super::{CancelReason, Core, FinalOutcome, OpenRequest};
 use crate::exchange::Opening;
 use shedrelay::{Event, RequestId};
 
@@ -48,7 +48,7 @@
         let mut requests = self.requests.borrow_mut();
         let current = requests.get_mut(&id).and_then(|open| open.current.as_mut());
         if let Some(cancel) = current.and_then(|(_, cancel)| cancel.take()) {
-            let _ = cancel.send(());
+            let _ = cancel.send(CancelReason::Stopping);
         }
     }
 }
--- a/router/src/servers.rs
+++ b/router/src/servers.rs
@@ -11,7 +11,7 @@
 mod transfer;
 pub mod upgrade;
 
-use crate::core::{AttemptOrder, AttemptResult, Core, RepeatLimits, Server};
+use crate::core::{AttemptOrder, AttemptResult, CancelReason, Core, RepeatLimits, Server};
 use crate::exchange::{ClientLeft, Exchange};
 use crate::handover::{Framing, Handover};
 use crate::headers::IDEMPOTENCY_KEY;
@@ -40,6 +40,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::oneshot;
 use transfer::offer_due;
 
 /// Largest body, other than a stream, that is read to its end, in bytes. A complete answer proves how its attempt ended.
@@ -125,8 +126,8 @@
                     biased;
                     // Fails only when the core has ended.
                     write_by = after => write_by.unwrap_or_default(),
-                    _ = &mut order.stop => {
-                        return core.attempt_ended(request, attempt, AttemptResult::unsent(Verdict::Cancelled, "cancelled"));
+                    reason = cancelled(&mut order.stop) => {
+                        return core.attempt_ended(request, attempt, AttemptResult::unsent(Verdict::Cancelled, reason));
                     }
                 };
             }
@@ -135,8 +136,8 @@
                 () = pending_closes.wait(request) => {}
                 // Too late to begin: `run_attempt` reports that.
                 () = actix_rt::time::sleep_until(order.answer_by.into()) => {}
-                _ = &mut order.stop => {
-                    return core.attempt_ended(request, attempt, AttemptResult::unsent(Verdict::Cancelled, "cancelled"));
+                reason = cancelled(&mut order.stop) => {
+                    return core.attempt_ended(request, attempt, AttemptResult::unsent(Verdict::Cancelled, reason));
                 }
             }
             let Some(connection) = connections.open(&order.server) else {
@@ -255,7 +256,9 @@
         let result = tokio::select! {
             biased;
             result = probe => result,
-            _ = &mut order.stop => return Err(AttemptResult::unsent(Verdict::Cancelled, "cancelled")),
+            reason = cancelled(&mut order.stop) => {
+                return Err(AttemptResult::unsent(Verdict::Cancelled, reason));
+            }
             () = lease_expired(order.write_by, connection) => {
                 return Err(AttemptResult::unsent(Verdict::Expired, "expired"));
             }
@@ -346,7 +349,7 @@
     let answer = tokio::select! {
         biased;
         answer = &mut request => Ok(answer),
-        _ = &mut order.stop => Err(interrupted(&connection, Verdict::Cancelled, "cancelled")),
+        reason = cancelled(&mut order.stop) => Err(interrupted(&connection, Verdict::Cancelled, reason)),
         () = actix_rt::time::sleep_until(until.into()) => {
             Err(interrupted(&connection, Verdict::Timeout, "timed-out"))
         }
@@ -577,7 +580,7 @@
         let next = tokio::select! {
             biased;
             next = source.next_piece() => next,
-            _ = &mut order.stop => break (Verdict::Cancelled, "cancelled"),
+            reason = cancelled(&mut order.stop) => break (Verdict::Cancelled, reason),
             () = actix_rt::time::sleep_until(timeout_at.into()) => {
                 if started && !std::mem::replace(&mut rechecking, true) {
                     timeout_at = Instant::now() + RECHECK_TIME;
@@ -635,11 +638,18 @@
     RelayEnd::Ended(stream_ended(events, verdict, reason))
 }
 
+/// Waits until an attempt is cancelled; returns why.
+async fn cancelled(stop: &mut oneshot::Receiver<CancelReason>) -> &'static str {
+    let reason = stop.await;
+    // The core drops the sender only with the request.
+    reason.unwrap_or(CancelReason::NotWanted).name()
+}
+
 /// Passes events to the client; waits while it is slow.
 async fn push(order: &mut AttemptOrder, events: Bytes) -> Result<(), &'static str> {
     tokio::select! {
         biased;
-        _ = &mut order.stop => Err("client-left"),
+        reason = cancelled(&mut order.stop) => Err(reason),
         pushed = order.exchange.push(events) => pushed.map_err(|ClientLeft| "client-left"),
         () = actix_rt::time::sleep(SLOW_CLIENT_TIMEOUT) => Err("slow-client"),
     }
--- a/router/tests/one_entry_per_request.rs
+++ b/router/tests/one_entry_per_request.rs
@@ -388,7 +388,7 @@
     let closed = format!("ledger closed without entries that are due entries={SERVED} lost={UNDER_WAY}");
     assert!(log.iter().any(|line| line.contains(&closed)), "{log:?}");
     // `fawnstream-losses` knows answers that a stop cut off by this reason.
-    let cancelled = log.iter().filter(|line| line.contains("verdict=Cancelled reason=cancelled"));
+    let cancelled = log.iter().filter(|line| line.contains("verdict=Cancelled reason=stopping"));
     assert_eq!(cancelled.count() as u64, UNDER_WAY, "{log:?}");
     drop(streams);
 }
